--- /dev/null
+++ b/src/main/java/trestlegrade/Balance.java
@@ -0,0 +1,935 @@
+package trestlegrade;
+
+import com.carrotsearch.hppc.LongIntHashMap;
+import com.carrotsearch.hppc.LongObjectHashMap;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.zip.CRC32;
+
+/**
+ * All decisions of one sidecar: where each transaction's hops go, and when it is given up.
+ *
+ * <p>Called through the public methods below, with times in tenths of a millisecond; what it decides it asks of
+ * its {@link Outlet}. Settings come as {@link Terms}, the list of endpoints as {@link Listed} rows, ends of hops
+ * as {@link Outcome}. One instance serves one sidecar and is not thread-safe.
+ *
+ * <p>The design: each server has a call tracker and a drop rate; the drop rate shrinks its points on a ring; a
+ * pick takes a random ring position and the next point (docs/design.md). Beside the design stand:
+ * <ol>
+ * <li>cold budget: a server that has just started gets a bounded amount of work (rule 4);
+ * <li>shutting out: a server that falls silent or fails in a row is left at once and tried again with care;
+ * <li>second copies and further hops, within a budget;
+ * <li>early rollback when the wait already spoils the service goal;
+ * <li>home preference: servers of the own location, while they are no slower;
+ * <li>warm keys: a key seen lately takes its ring position from the key instead of from chance.
+ * </ol>
+ */
+public final class Balance {
+
+    // ------------------------------------------------------------------ what is known of servers and transactions
+
+    /** Sums over time, in buckets of fixed width used again in a ring. */
+    static final class Buckets {
+        private final long width;
+        private final double[] sums;
+        private long at;
+
+        Buckets(long span, int count) {
+            width = Math.max(1, span / count);
+            sums = new double[count];
+        }
+
+        void add(long now, double amount) {
+            turn(now);
+            sums[(int) (at % sums.length)] += amount;
+        }
+
+        double total(long now) {
+            turn(now);
+            double total = 0;
+            for (double sum : sums) {
+                total += sum;
+            }
+            return total;
+        }
+
+        private void turn(long now) {
+            long bucket = now / width;
+            for (long b = Math.max(at + 1, bucket - sums.length + 1); b <= bucket; b++) {
+                sums[(int) (b % sums.length)] = 0;
+            }
+            at = Math.max(at, bucket);
+        }
+    }
+
+    private final class Server {
+        final long id;
+        int zone;
+        int cell;
+        double weight = 1;
+        long launched;
+        boolean ready;
+        int out;
+        // Call tracker and drop rate. Five one-second buckets: the design's 5 s.
+        final Buckets calls = new Buckets(50_000, 5);
+        final Buckets failures = new Buckets(50_000, 5);
+        final Buckets answers = new Buckets(50_000, 5);
+        final Buckets slowness = new Buckets(50_000, 5);
+        double drop;
+        int points;
+        double pace = 1;
+        // Shutting out.
+        final Buckets lateCalls = new Buckets(20_000, 4);
+        final Buckets lateFailures = new Buckets(20_000, 4);
+        long lastAnswer;
+        boolean lastFailed;
+        double silence;
+        boolean shut;
+        long tryAt;
+        long patience;
+        int trialsLeft;
+        int trialsOut;
+        final Buckets sentCold = new Buckets(terms.fallSpan() + terms.fallSpan() / 8, 9);
+
+        Server(long id) {
+            this.id = id;
+        }
+
+        /** Forgets what was measured of an earlier life. */
+        void startAfresh(long now, double meanDrop) {
+            drop = meanDrop;
+            pace = 1;
+            shut = false;
+            patience = FIRST_TRIAL;
+            lastFailed = false;
+            lastAnswer = now;
+            for (Buckets each : List.of(calls, failures, answers, slowness, lateCalls, lateFailures)) {
+                Arrays.fill(each.sums, 0);
+            }
+        }
+
+        /** Its share of full capacity, at the least; 1 once it is warm. */
+        double warmth(long now) {
+            long age = now - launched;
+            if (launched == 0 || age >= terms.coldFor()) {
+                return 1;
+            }
+            return terms.coldFrom() + (1 - terms.coldFrom()) * Math.max(0, age) / terms.coldFor();
+        }
+    }
+
+    private static final class Hop {
+        final Server server;
+        final long sent;
+        final double expected;
+        final boolean trial;
+        Outcome outcome;
+
+        Hop(Server server, long sent, double expected, boolean trial) {
+            this.server = server;
+            this.sent = sent;
+            this.expected = expected;
+            this.trial = trial;
+        }
+    }
+
+    private static final class Tx {
+        long id;
+        int profile;
+        int customer;
+        long key;
+        long arrived;
+        long end;
+        double cost;
+        boolean over;
+        boolean done;
+        boolean streaming;
+        int out;
+        final List<Hop> hops = new ArrayList<>(3);
+    }
+
+    private final Terms terms;
+    private final Outlet outlet;
+    private final long seed;
+    private long drawn;
+    private final CRC32 crc = new CRC32();
+    private final byte[] crcInput = new byte[16];
+
+    private final LongIntHashMap serverIndex = new LongIntHashMap();
+    private final List<Server> servers = new ArrayList<>();
+    private final LongObjectHashMap<Tx> txById = new LongObjectHashMap<>();
+    private final List<Tx> open = new ArrayList<>();
+    private final List<Tx> waiting = new ArrayList<>();
+
+    // The ring: point positions in order, and whose point each is.
+    private long[] ringAt = new long[0];
+    private int[] ringServer = new int[0];
+    private int[] ringOrdinal = new int[0];
+    private double readyWeight;
+
+    public Balance(Terms terms, long seed, Outlet outlet) {
+        this.terms = terms;
+        this.seed = seed;
+        this.outlet = outlet;
+        int profiles = terms.profiles().size();
+        usual = new double[profiles];
+        usualCost = new double[profiles];
+        for (int i = 0; i < profiles; i++) {
+            // A quarter of the service goal until the first answers tell.
+            usual[i] = terms.profiles().get(i).serviceGoal() / 4.0;
+        }
+        customerArrivals = new Buckets[Math.max(1, terms.customers().size())];
+        for (int i = 0; i < customerArrivals.length; i++) {
+            customerArrivals[i] = new Buckets(50_000, 5);
+        }
+        rankRevenue();
+    }
+
+    // ------------------------------------------------------------------ how it is called
+
+    public void start(long now) {
+        outlet.wake(BEAT);
+        nextGrade = now + GRADE_EVERY;
+        if (terms.listOnRequest()) {
+            outlet.subscribe();
+        }
+    }
+
+    /** The list, whole or only what changed; {@code old} marks a list kept from an earlier life. */
+    public void listed(long now, List<Listed> rows, boolean whole, boolean old) {
+        if (!old) {
+            listFailures = 0;
+        }
+        if (whole) {
+            servers.forEach(s -> s.ready = false);
+        }
+        for (Listed row : rows) {
+            int index = serverIndex.getOrDefault(row.id(), -1);
+            boolean fresh = index < 0;
+            if (fresh) {
+                index = servers.size();
+                serverIndex.put(row.id(), index);
+                servers.add(new Server(row.id()));
+            }
+            Server server = servers.get(index);
+            if (row.state() == Listed.State.GONE) {
+                server.ready = false;
+                continue;
+            }
+            if (fresh || row.launched() > server.launched) {
+                server.startAfresh(now, meanDrop());
+            }
+            server.ready = row.state() == Listed.State.READY;
+            server.zone = row.zone();
+            server.cell = row.cell();
+            server.launched = row.launched();
+            server.weight = terms.sizedWeights() && row.weight() > 0 ? row.weight() : 1;
+        }
+        layRing();
+        retryWaiting(now);
+    }
+
+    /** A call for the list failed, or the subscription dropped. */
+    public void listFailed(long now) {
+        // Back-off doubles from 100 ms to an eighth of the time within which it must have been asked; the spread
+        // keeps sidecars that failed together from asking together.
+        long wait = Math.min(1_000L << Math.min(listFailures++, 6), terms.askWithin() / 8);
+        askListAt = now + wait / 2 + (long) (wait * chance());
+    }
+
+    public void arrived(long now, long id, int profile, int customer, long key, long patience, long cost) {
+        Tx tx = new Tx();
+        tx.id = id;
+        tx.profile = profile;
+        tx.customer = customer < customerArrivals.length ? customer : 0;
+        tx.key = key;
+        tx.arrived = now;
+        tx.end = now + patience;
+        tx.cost = cost;
+        txById.put(id, tx);
+        open.add(tx);
+        arrivals.add(now, 1);
+        customerArrivals[tx.customer].add(now, 1);
+        hopTokens = Math.min(HOP_TOKENS, hopTokens + FURTHER_SHARE);
+        copyTokens = Math.min(COPY_TOKENS, copyTokens + COPY_SHARE);
+        forward(now, tx, 0);
+    }
+
+    /** The answer has begun to flow to the client: nothing is owed any more. */
+    public void streaming(long id, int hop) {
+        Tx tx = txById.get(id);
+        if (tx != null) {
+            tx.streaming = true;
+        }
+    }
+
+    public void hopEnded(long now, long id, int hop, Outcome outcome, long took, boolean finished) {
+        Tx tx = txById.get(id);
+        if (tx == null || hop >= tx.hops.size() || tx.hops.get(hop).outcome != null) {
+            return;
+        }
+        tx.hops.get(hop).outcome = outcome;
+        tx.out--;
+        if (finished) {
+            finish(tx);
+        }
+        backward(now, tx, tx.hops.get(hop), took);
+        if (tx.done && tx.out == 0) {
+            txById.remove(id);
+        }
+    }
+
+    public void clientLeft(long now, long id) {
+        Tx tx = txById.get(id);
+        if (tx != null) {
+            finish(tx);
+            if (tx.out == 0) {
+                txById.remove(id);
+            }
+        }
+    }
+
+    public void woken(long now) {
+        outlet.wake(BEAT);
+        if (askListAt != 0 && now >= askListAt) {
+            askListAt = 0;
+            outlet.subscribe();
+        }
+        listen(now);
+        if (now >= nextGrade) {
+            nextGrade = now + GRADE_EVERY;
+            grade(now);
+        }
+        retryWaiting(now);
+        lookAfterOpen(now);
+    }
+
+    // Every second tick of the coarsest site clock in use; half the slack usual for final answers.
+    private static final long BEAT = 100;
+    private long askListAt;
+    private int listFailures;
+
+    // ------------------------------------------------------------------ the chain
+
+    private static final int ON = 0;
+    private static final int KEPT = 1;
+    private static final int ENDED = 2;
+
+    /** One stage of the chain every transaction passes, for each hop anew; ends of hops come back through it. */
+    private interface Stage {
+        int pass(long now, Tx tx);
+
+        default void back(long now, Tx tx, Hop hop, long took) { }
+    }
+
+    private final Stage[] chain = {new Leave(), new Early(), new Choose()};
+
+    private void forward(long now, Tx tx, int from) {
+        for (int i = from; i < chain.length; i++) {
+            if (chain[i].pass(now, tx) != ON) {
+                return;
+            }
+        }
+    }
+
+    private void backward(long now, Tx tx, Hop hop, long took) {
+        for (int i = chain.length - 1; i >= 0; i--) {
+            chain[i].back(now, tx, hop, took);
+        }
+    }
+
+    // ------------------------------------------------------------------ rules 1 and 2: what may still be done
+
+    /** Rule 2. The first hop that ran or may have run (one still out may run), or null. */
+    private static Hop mayHaveRun(Tx tx) {
+        for (Hop hop : tx.hops) {
+            if (hop.outcome == null || !hop.outcome.neverRan) {
+                return hop;
+            }
+        }
+        return null;
+    }
+
+    /** Rule 2. Whether the transaction may be sent (again) to this server. */
+    private boolean maySend(long now, Tx tx, Server server) {
+        if (tx.done || tx.hops.size() >= terms.maxHops() || tx.out > 0 && !terms.secondCopies()) {
+            return false;
+        }
+        Terms.Profile profile = terms.profiles().get(tx.profile);
+        Hop first = mayHaveRun(tx);
+        if (first == null || profile.repeat() == Terms.Repeat.IDEMPOTENT) {
+            return true;
+        }
+        return profile.repeat() == Terms.Repeat.JOURNALLED
+                && now - first.sent < profile.window() - WINDOW_MARGIN
+                && (profile.group() == Terms.Group.ALL
+                || profile.group() == Terms.Group.ZONE && first.server.zone == server.zone
+                || profile.group() == Terms.Group.CELL && first.server.cell == server.cell);
+    }
+
+    // A resend travels and may wait for a connection: a tenth of a second of the window is left for that.
+    private static final long WINDOW_MARGIN = 1_000;
+
+    /** Rule 2. Whether the client may be told that trying again is harmless. */
+    private boolean mayRollBack(Tx tx) {
+        Terms.Profile profile = terms.profiles().get(tx.profile);
+        return profile.repeat() == Terms.Repeat.IDEMPOTENT || mayHaveRun(tx) == null
+                || profile.repeat() == Terms.Repeat.JOURNALLED && profile.group() == Terms.Group.ALL;
+    }
+
+    /** The final answer when nothing more is tried: at once, so that the client can turn elsewhere. */
+    private void giveUp(Tx tx, long pause) {
+        if (tx.done) {
+            return;
+        }
+        if (mayRollBack(tx)) {
+            outlet.rollBack(tx.id, terms.pauses() ? Math.min(pause, terms.longestPause()) : 0);
+        } else {
+            outlet.abandon(tx.id);
+        }
+        finish(tx);
+    }
+
+    /** Marks the transaction as finally answered; hops still out are of no more use. */
+    private void finish(Tx tx) {
+        if (tx.done) {
+            return;
+        }
+        tx.done = true;
+        if (terms.cancelling()) {
+            for (int i = 0; i < tx.hops.size(); i++) {
+                if (tx.hops.get(i).outcome == null) {
+                    outlet.callOff(tx.id, i);
+                }
+            }
+        }
+    }
+
+    /** Rule 1. First in, last back: sees that each transaction is still worth a hop, or ends it. */
+    private final class Leave implements Stage {
+        @Override
+        public int pass(long now, Tx tx) {
+            if (tx.done) {
+                return ENDED;
+            }
+            boolean further = !tx.hops.isEmpty();
+            // A further hop only if the time left exceeds the time it is expected to take.
+            if (now >= tx.end || further && tx.end - now <= expected(tx) || further && hopTokens < 1) {
+                if (tx.out == 0) {
+                    giveUp(tx, 0);
+                }
+                return ENDED;
+            }
+            return ON;
+        }
+
+        @Override
+        public void back(long now, Tx tx, Hop hop, long took) {
+            if (tx.done || tx.streaming || tx.out > 0) {
+                return;
+            }
+            forward(now, tx, 0);
+        }
+    }
+
+    // Further hops: one for every five arrivals, as the design's step; twenty saved up bridge the loss of a server.
+    private static final double FURTHER_SHARE = 0.2;
+    private static final double HOP_TOKENS = 20;
+    private double hopTokens = HOP_TOKENS;
+    // Second copies of hops that are merely slow: one for every twenty arrivals, so that they feed no overload.
+    private static final double COPY_SHARE = 0.05;
+    private static final double COPY_TOKENS = 5;
+    private double copyTokens = COPY_TOKENS;
+
+    /** Every beat: transactions past their end are answered, and hops that are overdue get a second copy. */
+    private void lookAfterOpen(long now) {
+        int kept = 0;
+        for (int i = 0; i < open.size(); i++) {
+            Tx tx = open.get(i);
+            if (!tx.done && !tx.streaming && now >= tx.end) {
+                giveUp(tx, 0);
+            }
+            if (!tx.done) {
+                open.set(kept++, tx);
+                if (tx.out == 1 && terms.secondCopies() && tx.hops.size() < terms.maxHops()) {
+                    copyIfOverdue(now, tx);
+                }
+            }
+        }
+        open.subList(kept, open.size()).clear();
+    }
+
+    private void copyIfOverdue(long now, Tx tx) {
+        if (terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT || tx.streaming) {
+            return;
+        }
+        Hop last = tx.hops.get(tx.hops.size() - 1);
+        long age = now - last.sent;
+        boolean lost = last.server.shut && age > last.expected;
+        boolean slow = age > OVERDUE * last.expected && copyTokens >= 1;
+        if ((lost || slow) && hopTokens >= 1 && tx.end - now > expected(tx)) {
+            Server server = pick(now, tx);
+            if (server != null) {
+                hopTokens--;
+                copyTokens -= lost ? 0 : 1;
+                send(now, tx, server, false);
+            }
+        }
+    }
+
+    // A healthy hop with exponential times lasts three means once in twenty: the budget of second copies.
+    private static final double OVERDUE = 3;
+
+    // ------------------------------------------------------------------ early rollback
+
+    /** Ends transactions at the door when the wait already spoils the service goal (call dropping in D2). */
+    private final class Early implements Stage {
+        @Override
+        public int pass(long now, Tx tx) {
+            if (!tx.hops.isEmpty()) {
+                return ON;
+            }
+            double rate = commits.total(now) / COMMIT_SPAN;
+            if (commits.total(now) < 10) {
+                return ON;
+            }
+            double wait = openOut / rate;
+            double bound = terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile];
+            double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
+            if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
+                bound *= 0.8;
+            }
+            if (chance() < Math.min(0.9, 2 * (wait / bound - 1))) {
+                giveUp(tx, terms.longestPause());
+                return ENDED;
+            }
+            return ON;
+        }
+
+        @Override
+        public void back(long now, Tx tx, Hop hop, long took) {
+            if (hop.outcome == Outcome.COMMITTED) {
+                commits.add(now, 1);
+            }
+        }
+    }
+
+    private static final long COMMIT_SPAN = 10_000;
+    private final Buckets commits = new Buckets(COMMIT_SPAN, 10);
+    private final Buckets arrivals = new Buckets(50_000, 5);
+    private final Buckets[] customerArrivals;
+    private int openOut;
+    private double[] rank;
+
+    /** The share of the service goal that the wait may take, from 0.6 for the least revenue to 1 for the most. */
+    private void rankRevenue() {
+        int n = terms.profiles().size();
+        rank = new double[n];
+        double most = terms.profiles().stream().mapToDouble(Terms.Profile::revenue).max().orElse(1);
+        for (int i = 0; i < n; i++) {
+            rank[i] = 0.6 + 0.4 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
+        }
+    }
+
+    // ------------------------------------------------------------------ choosing: the ring and what is passed over
+
+    /** Last stage: picks a server and sends, or keeps the transaction while no server may take it. */
+    private final class Choose implements Stage {
+        @Override
+        public int pass(long now, Tx tx) {
+            Server trial = trialFor(now, tx);
+            Server server = trial != null ? trial : pick(now, tx);
+            if (server == null) {
+                if (!tx.hops.isEmpty() || now - tx.arrived >= waitAtMost(tx)) {
+                    giveUp(tx, 0);
+                    return ENDED;
+                }
+                if (!waiting.contains(tx)) {
+                    waiting.add(tx);
+                }
+                return KEPT;
+            }
+            if (!tx.hops.isEmpty()) {
+                hopTokens--;
+            }
+            send(now, tx, server, trial != null);
+            return KEPT;
+        }
+
+        @Override
+        public void back(long now, Tx tx, Hop hop, long took) {
+            track(now, tx, hop, took);
+        }
+    }
+
+    /** With no server to send to, a quarter of the service goal is waited: three are left for the work. */
+    private long waitAtMost(Tx tx) {
+        return Math.min(terms.profiles().get(tx.profile).serviceGoal(), tx.end - tx.arrived) / 4;
+    }
+
+    private void retryWaiting(long now) {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        List<Tx> again = new ArrayList<>(waiting);
+        waiting.clear();
+        for (Tx tx : again) {
+            if (!tx.done) {
+                forward(now, tx, 0);
+            }
+        }
+    }
+
+    private void send(long now, Tx tx, Server server, boolean trial) {
+        Hop hop = new Hop(server, now, expected(tx), trial);
+        if (server.out == 0) {
+            server.lastAnswer = Math.max(server.lastAnswer, now);
+        }
+        tx.hops.add(hop);
+        tx.out++;
+        server.out++;
+        openOut += server.shut ? 0 : 1;
+        server.sentCold.add(now, hop.expected);
+        server.trialsOut += trial ? 1 : 0;
+        outlet.send(tx.id, server.id, tx.end - now);
+    }
+
+    /** Points over the ring in the order of their positions, the same at every sidecar with the same list. */
+    private void layRing() {
+        List<Server> ready = servers.stream().filter(s -> s.ready).toList();
+        readyWeight = ready.stream().mapToDouble(s -> s.weight).sum();
+        double mean = readyWeight / Math.max(1, ready.size());
+        List<long[]> ring = new ArrayList<>();
+        for (Server server : ready) {
+            server.points = (int) Math.max(1, Math.min(4 * POINTS, Math.round(POINTS * server.weight / mean)));
+            for (int ordinal = 0; ordinal < server.points; ordinal++) {
+                ring.add(new long[] {hash(server.id, ordinal), serverIndex.get(server.id), ordinal});
+            }
+        }
+        ring.sort((a, b) -> Long.compare(a[0], b[0]));
+        int n = ring.size();
+        ringAt = new long[n];
+        ringServer = new int[n];
+        ringOrdinal = new int[n];
+        for (int i = 0; i < n; i++) {
+            ringAt[i] = ring.get(i)[0];
+            ringServer[i] = (int) ring.get(i)[1];
+            ringOrdinal[i] = (int) ring.get(i)[2];
+        }
+    }
+
+    // The design's points for a healthy server of mean weight.
+    private static final int POINTS = 100;
+
+    /** A pick: a ring position and the next point that is not passed over; null when no server may take it. */
+    private Server pick(long now, Tx tx) {
+        int n = ringAt.length;
+        if (n == 0) {
+            return null;
+        }
+        int start = (int) (chance() * n);
+        boolean atHome = chance() < homeLean;
+        boolean trusted = terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT;
+        if (terms.warmKeys() && tx.key != 0 && tx.hops.isEmpty() && seenLately(now, tx.key)) {
+            int at = Arrays.binarySearch(ringAt, hash(tx.key, -1));
+            start = (at < 0 ? -at - 1 : at) % n;
+        }
+        double mean = openOut / Math.max(readyWeight, 1e-9);
+        // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
+        for (int strict = 3; strict >= 0; strict--) {
+            Server cold = null;
+            for (int i = 0; i < n; i++) {
+                int point = start + i < n ? start + i : start + i - n;
+                Server server = servers.get(ringServer[point]);
+                if (server == cold || ringOrdinal[point] >= livePoints(server)
+                        || server.shut && strict > 0
+                        || strict > 2 && (atHome && server.zone != terms.homeZone()
+                                || trusted && server.lastFailed)
+                        || strict > 1 && server.out > 2 * mean * server.weight + 2
+                        || !maySend(now, tx, server) || tried(tx, server) && strict > 0) {
+                    continue;
+                }
+                if (server.launched != 0 && !mayTakeCold(now, tx, server, strict)) {
+                    cold = server;
+                    continue;
+                }
+                return server;
+            }
+        }
+        return null;
+    }
+
+    private static boolean tried(Tx tx, Server server) {
+        for (Hop hop : tx.hops) {
+            if (hop.server == server) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Points left by the drop rate, over the design's floor of one. */
+    private static int livePoints(Server server) {
+        return Math.max(1, (int) Math.round(server.points * (1 - server.drop)));
+    }
+
+    /** Warm keys: whether this key came by in the last while; marks it as seen. */
+    private boolean seenLately(long now, long key) {
+        int slot = (int) (hash(key, -2) & seenKey.length - 1);
+        boolean seen = seenKey[slot] == key && now - seenAt[slot] < SEEN_FOR;
+        seenKey[slot] = key;
+        seenAt[slot] = now;
+        return seen;
+    }
+
+    // Keys that come less often than every ten seconds find their server cold in any case.
+    private static final long SEEN_FOR = 100_000;
+    private final long[] seenKey = new long[4096];
+    private final long[] seenAt = new long[4096];
+
+    // ------------------------------------------------------------------ rule 4: the cold budget
+
+    /** Whether a server that may be cold can take this transaction: by chance as it warms, and within its budget. */
+    private boolean mayTakeCold(long now, Tx tx, Server server, int strict) {
+        double warmth = server.warmth(now);
+        if (warmth >= 1) {
+            return true;
+        }
+        if (strict > 2 && chance() > warmth) {
+            return false;
+        }
+        double sent = server.sentCold.total(now);
+        double carried = carriedWork.total(now) / CARRIED_SPAN / Math.max(carriedWeight, 1e-9);
+        carriedPeak = Math.max(carriedPeak, carried);
+        double budget = COLD_MARGIN * terms.fallMultiple() * warmth * carriedPeak * server.weight * terms.fallSpan();
+        return sent == 0 || sent + expected(tx) <= budget;
+    }
+
+    // Half of what the rule allows if every sidecar does the same: costs are guessed, and what like servers carry
+    // is at most their capacity.
+    private static final double COLD_MARGIN = 0.5;
+    private static final long CARRIED_SPAN = 50_000;
+    private final Buckets carriedWork = new Buckets(CARRIED_SPAN, 5);
+    private double carriedWeight;
+    private double carriedPeak;
+
+    // ------------------------------------------------------------------ the call tracker and the drop rate
+
+    private final double[] usual;
+    private final double[] usualCost;
+
+    /** How long a hop of this transaction usually takes, over all servers: its profile's mean, by its cost hint. */
+    private double expected(Tx tx) {
+        double mean = usual[tx.profile];
+        if (tx.cost > 0 && usualCost[tx.profile] > 0) {
+            return mean * (0.3 + 0.7 * tx.cost / usualCost[tx.profile]);
+        }
+        return mean;
+    }
+
+    private void track(long now, Tx tx, Hop hop, long took) {
+        Server server = hop.server;
+        server.out--;
+        openOut = Math.max(0, openOut - (server.shut ? 0 : 1));
+        server.trialsOut -= hop.trial ? 1 : 0;
+        Outcome outcome = hop.outcome;
+        if (outcome == Outcome.CALLED_OFF || outcome == Outcome.NOT_SENT) {
+            return;
+        }
+        boolean failed = outcome != Outcome.COMMITTED;
+        boolean silent = outcome == Outcome.TIMED_OUT;
+        server.calls.add(now, 1);
+        server.lateCalls.add(now, 1);
+        if (!silent) {
+            server.lastAnswer = now;
+        }
+        // The client's own impatience ends a hop too: only past the usual time it tells of the server.
+        if (failed && !(silent && took < 2 * hop.expected)) {
+            server.failures.add(now, 1);
+            server.lateFailures.add(now, 1);
+            server.lastFailed = true;
+        }
+        if (!failed) {
+            server.lastFailed = false;
+            if (server.warmth(now) >= 1) {
+                carriedWork.add(now, hop.expected);
+            }
+        }
+        if (!failed || silent) {
+            server.answers.add(now, 1);
+            server.slowness.add(now, took / hop.expected);
+            server.pace += 0.1 * (took / hop.expected - server.pace);
+            usual[tx.profile] += 0.02 * (took - usual[tx.profile]);
+            if (tx.cost > 0) {
+                double step = usualCost[tx.profile] == 0 ? 1 : 0.02;
+                usualCost[tx.profile] += step * (tx.cost - usualCost[tx.profile]);
+            }
+        }
+        if (server.shut) {
+            trialEnded(now, server, failed, hop.trial);
+        } else if (failed && server.lateFailures.total(now) >= FAILING_CALLS
+                && server.lateFailures.total(now) >= FAILING_SHARE * server.lateCalls.total(now)) {
+            shut(now, server, FAILING_TRIALS);
+        }
+    }
+
+    /** The design's step, five times smaller and five times as often: 0.2 in 5 s at the most. */
+    private void grade(long now) {
+        double[] means = new double[servers.size()];
+        int n = 0;
+        carriedWeight = 0;
+        for (Server server : servers) {
+            if (server.ready) {
+                carriedWeight += server.warmth(now) >= 1 && !server.shut ? server.weight : 0;
+                if (server.answers.total(now) >= FEW_CALLS) {
+                    means[n++] = server.slowness.total(now) / server.answers.total(now);
+                }
+            }
+        }
+        Arrays.sort(means, 0, n);
+        double median = n == 0 ? 1 : (means[(n - 1) / 2] + means[n / 2]) / 2;
+        double homeSlow = 0;
+        double homeCalls = 0;
+        double farSlow = 0;
+        double farCalls = 0;
+        for (Server server : servers) {
+            double calls = server.calls.total(now);
+            double answers = server.answers.total(now);
+            boolean slow = answers >= FEW_CALLS && server.slowness.total(now) / answers > 2 * median;
+            boolean failing = calls >= FEW_CALLS && server.failures.total(now) > 0.1 * calls;
+            server.drop = Math.max(0, Math.min(1, server.drop + (slow || failing ? GRADE_STEP : -GRADE_STEP)));
+            if (server.ready && !server.shut) {
+                if (server.zone == terms.homeZone()) {
+                    homeSlow += server.slowness.total(now);
+                    homeCalls += answers;
+                } else {
+                    farSlow += server.slowness.total(now);
+                    farCalls += answers;
+                }
+            }
+        }
+        leanHome(homeSlow, homeCalls, farSlow, farCalls);
+    }
+
+    private static final long GRADE_EVERY = 10_000;
+    private static final double GRADE_STEP = 0.04;
+    // The design's least number of calls.
+    private static final int FEW_CALLS = 5;
+    private long nextGrade;
+
+    private double meanDrop() {
+        return servers.stream().filter(s -> s.ready).mapToDouble(s -> s.drop).average().orElse(0);
+    }
+
+    // ------------------------------------------------------------------ home preference
+
+    /** Leans towards the own location while its servers are no slower than the others; graded like the drop rate. */
+    private void leanHome(double homeSlow, double homeCalls, double farSlow, double farCalls) {
+        if (terms.crossingFee() <= 0 || homeCalls < FEW_CALLS) {
+            homeLean = 0;
+            return;
+        }
+        boolean slower = farCalls >= FEW_CALLS && homeSlow / homeCalls > 1.1 * farSlow / farCalls;
+        homeLean = Math.max(0, Math.min(MOST_LEAN, homeLean + (slower ? -0.1 : 0.05)));
+    }
+
+    // A tenth goes anywhere, so that the other locations stay measured.
+    private static final double MOST_LEAN = 0.9;
+    private double homeLean;
+
+    // ------------------------------------------------------------------ shutting out
+
+    /** Every beat: how unlikely each server's silence is, from the hops out to it since its last answer. */
+    private void listen(long now) {
+        for (Server server : servers) {
+            server.silence = 0;
+        }
+        for (Tx tx : open) {
+            for (Hop hop : tx.hops) {
+                if (hop.outcome == null && !tx.streaming) {
+                    Server server = hop.server;
+                    long unheard = now - Math.max(hop.sent, server.lastAnswer);
+                    server.silence += unheard / (hop.expected * Math.max(1, server.pace));
+                }
+            }
+        }
+        for (Server server : servers) {
+            if (!server.shut && server.silence > SILENCE) {
+                shut(now, server, 1);
+            }
+        }
+    }
+
+    // A healthy server with exponential times is silent this long once in e^9, about eight thousand, looks.
+    private static final double SILENCE = 9;
+    // Three failures within two seconds, and two in five of its calls: far over any usual error rate.
+    private static final int FAILING_CALLS = 3;
+    private static final double FAILING_SHARE = 0.4;
+    private static final int FAILING_TRIALS = 3;
+    private static final long FIRST_TRIAL = 5_000;
+    private static final long LAST_TRIAL = 40_000;
+
+    /** Leaves a server at once, unless that would leave less than a third of the listed weight. */
+    private void shut(long now, Server server, int trials) {
+        double left = 0;
+        for (Server each : servers) {
+            left += each.ready && !each.shut && each != server ? each.weight : 0;
+        }
+        if (left < readyWeight / 3) {
+            return;
+        }
+        server.shut = true;
+        server.trialsLeft = trials;
+        server.tryAt = now + server.patience;
+        openOut = Math.max(0, openOut - server.out);
+    }
+
+    private void trialEnded(long now, Server server, boolean failed, boolean trial) {
+        if (failed) {
+            if (trial) {
+                server.patience = Math.min(LAST_TRIAL, 2 * server.patience);
+                server.tryAt = now + server.patience;
+            }
+            return;
+        }
+        if (--server.trialsLeft <= 0) {
+            server.shut = false;
+            server.patience = FIRST_TRIAL;
+            openOut += server.out;
+            Arrays.fill(server.lateFailures.sums, 0);
+        } else {
+            server.tryAt = now;
+        }
+    }
+
+    /** A server due for a trial, if this transaction may be repeated when the trial fails. */
+    private Server trialFor(long now, Tx tx) {
+        if (!tx.hops.isEmpty() || terms.profiles().get(tx.profile).repeat() != Terms.Repeat.IDEMPOTENT) {
+            return null;
+        }
+        for (Server server : servers) {
+            if (server.shut && server.ready && server.trialsOut == 0 && now >= server.tryAt
+                    && mayTakeCold(now, tx, server, 0)) {
+                return server;
+            }
+        }
+        return null;
+    }
+
+    // ------------------------------------------------------------------ chance
+
+    private double chance() {
+        return (hash(seed, drawn++) & 0xffffffffL) / 4294967296.0;
+    }
+
+    private long hash(long a, long b) {
+        for (int i = 0; i < 8; i++) {
+            crcInput[i] = (byte) (a >>> 8 * i);
+            crcInput[8 + i] = (byte) (b >>> 8 * i);
+        }
+        crc.reset();
+        crc.update(crcInput, 0, 16);
+        return crc.getValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/trestlegrade/Main.java
@@ -0,0 +1,46 @@
+package trestlegrade;
+
+import java.io.BufferedInputStream;
+import java.io.FileInputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import trestlegrade.benchlink.Link;
+import trestlegrade.benchlink.MalformedFrame;
+
+/** The command line. */
+@Command(name = "trestlegrade", mixinStandardHelpOptions = true, version = "trestlegrade 0.1.0",
+        description = "A load balancer of which every client process has its own copy.")
+public final class Main implements Callable<Integer> {
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return CommandLine.ExitCode.USAGE;
+    }
+
+    @Command(name = "benchlink", mixinStandardHelpOptions = true,
+            description = "Makes the decisions for the sidecars of a bench, on standard input and output.")
+    int benchlink() {
+        try {
+            new Link(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
+                    new FileOutputStream(FileDescriptor.out)).run();
+            return CommandLine.ExitCode.OK;
+        } catch (MalformedFrame e) {
+            System.err.println("benchlink: malformed input: " + e.getMessage());
+        } catch (IOException e) {
+            System.err.println("benchlink: input or output failed: " + e.getMessage());
+        }
+        return CommandLine.ExitCode.SOFTWARE;
+    }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+}
--- /dev/null
+++ b/src/main/java/trestlegrade/Outcome.java
@@ -0,0 +1,19 @@
+package trestlegrade;
+
+/** How a hop ended, and whether that proves that the endpoint never ran the transaction. */
+public enum Outcome {
+    COMMITTED(false),
+    ERROR(false),
+    TURNED_AWAY(true),
+    TIMED_OUT(false),
+    NO_CONNECTION(true),
+    BROKEN(false),
+    CALLED_OFF(false),
+    NOT_SENT(true);
+
+    public final boolean neverRan;
+
+    Outcome(boolean neverRan) {
+        this.neverRan = neverRan;
+    }
+}
--- /dev/null
+++ b/src/main/java/trestlegrade/Outlet.java
@@ -0,0 +1,22 @@
+package trestlegrade;
+
+/** What the decisions ask of whoever carries them out. Transactions and endpoints go by the ids they came with. */
+public interface Outlet {
+    /** Starts the transaction's next hop; hops are numbered from 0 in the order of these calls. */
+    void send(long tx, long endpoint, long timeout);
+
+    /** Stops waiting for a hop. */
+    void callOff(long tx, int hop);
+
+    /** Final answer: it has had no effect and may be tried again, after the pause if that is not 0. */
+    void rollBack(long tx, long pause);
+
+    /** Final answer: nothing is promised of its effect. */
+    void abandon(long tx);
+
+    /** Asks for one call of {@link Balance#woken} after the span. */
+    void wake(long span);
+
+    /** Asks to be told of changes to the list of endpoints from now on. */
+    void subscribe();
+}
--- /dev/null
+++ b/src/main/java/trestlegrade/Terms.java
@@ -0,0 +1,25 @@
+package trestlegrade;
+
+import java.util.List;
+
+/**
+ * The terms on which one sidecar works, as agreed at its start. Times are tenths of a millisecond.
+ * Only what the decisions read is here.
+ */
+public record Terms(
+        List<Profile> profiles, List<Customer> customers, int sidecars, int homeZone,
+        int maxHops, boolean secondCopies, boolean cancelling, boolean pauses, long longestPause,
+        boolean listOnRequest, long askWithin, boolean sizedWeights, boolean warmKeys, double crossingFee,
+        double coldFrom, long coldFor, double fallMultiple, long fallSpan) {
+
+    /** What a repeat of a transaction may do. */
+    public enum Repeat { IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT }
+
+    /** Which endpoints drop the repeats of a journalled transaction. */
+    public enum Group { ALL, ZONE, CELL }
+
+    public record Profile(long serviceGoal, long hardLimit, double revenue,
+                          Repeat repeat, Group group, long window) { }
+
+    public record Customer(double share) { }
+}
