--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -175,9 +175,12 @@
         int profiles = terms.profiles().size();
         usual = new double[profiles];
         usualCost = new double[profiles];
+        bare = new double[profiles];
         for (int i = 0; i < profiles; i++) {
             // A quarter of the service goal until the first answers tell.
             usual[i] = terms.profiles().get(i).serviceGoal() / 4.0;
+            usualAll += usual[i] / profiles;
+            bare[i] = usual[i];
         }
         customerArrivals = new Buckets[Math.max(1, terms.customers().size())];
         for (int i = 0; i < customerArrivals.length; i++) {
@@ -494,8 +497,9 @@
             if (commits.total(now) < 10) {
                 return ON;
             }
-            double wait = openOut / rate;
-            double bound = terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile];
+            double wait = openOut / rate * usual[tx.profile] / Math.max(usualAll, 1);
+            double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
+                    2 * bare[tx.profile]);
             double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
             if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
                 bound *= 0.8;
@@ -528,7 +532,7 @@
         rank = new double[n];
         double most = terms.profiles().stream().mapToDouble(Terms.Profile::revenue).max().orElse(1);
         for (int i = 0; i < n; i++) {
-            rank[i] = 0.6 + 0.4 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
+            rank[i] = 0.3 + 0.15 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
         }
     }
 
@@ -718,6 +722,8 @@
 
     private final double[] usual;
     private final double[] usualCost;
+    private final double[] bare;
+    private double usualAll;
 
     /** How long a hop of this transaction usually takes, over all servers: its profile's mean, by its cost hint. */
     private double expected(Tx tx) {
@@ -761,6 +767,8 @@
             server.slowness.add(now, took / hop.expected);
             server.pace += 0.1 * (took / hop.expected - server.pace);
             usual[tx.profile] += 0.02 * (took - usual[tx.profile]);
+            usualAll += 0.02 * (took - usualAll);
+            bare[tx.profile] = Math.min(bare[tx.profile] * 1.0002, usual[tx.profile]);
             if (tx.cost > 0) {
                 double step = usualCost[tx.profile] == 0 ? 1 : 0.02;
                 usualCost[tx.profile] += step * (tx.cost - usualCost[tx.profile]);
