--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -688,7 +688,7 @@
     }
 
     // Keys that come less often than every ten seconds find their server cold in any case.
-    private static final long SEEN_FOR = 100_000;
+    private static final long SEEN_FOR = 300_000;
     private final long[] seenKey = new long[4096];
     private final long[] seenAt = new long[4096];
 
