Key and home preference only up to 1.25 of a server's part in flight

Cause: hot keys and the own location crowded a few servers (busiest 2.5 times the mean); the design's pass-over at twice the mean plus two, once per sidecar, is too wide to stop that.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -632,24 +632,35 @@
         if (n == 0) {
             return null;
         }
-        int start = (int) (chance() * n);
+        int random = (int) (chance() * n);
+        int start = random;
         boolean atHome = chance() < homeLean;
+        boolean keyed = false;
         boolean trusted = terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT;
         if (terms.warmKeys() && tx.key != 0 && tx.hops.isEmpty() && seenLately(now, tx.key)) {
             int at = Arrays.binarySearch(ringAt, hash(tx.key, -1));
             start = (at < 0 ? -at - 1 : at) % n;
+            keyed = true;
         }
         double mean = openOut / Math.max(readyWeight, 1e-9);
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
-        for (int strict = 3; strict >= 0; strict--) {
+        for (int strict = 4; strict >= 0; strict--) {
             Server cold = null;
+            if (strict == 4 && !atHome && !keyed) {
+                continue;
+            }
+            if (strict < 4) {
+                start = random;
+                atHome = false;
+            }
             for (int i = 0; i < n; i++) {
                 int point = start + i < n ? start + i : start + i - n;
                 Server server = servers.get(ringServer[point]);
                 if (server == cold || ringOrdinal[point] >= livePoints(server)
                         || server.shut && strict > 0
-                        || strict > 2 && (atHome && server.zone != terms.homeZone()
-                                || trusted && server.lastFailed)
+                        || strict > 3 && (atHome && server.zone != terms.homeZone()
+                                || server.out >= PREFER * mean * server.weight + 1)
+                        || strict > 2 && trusted && server.lastFailed
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
                         || !maySend(now, tx, server) || tried(tx, server) && strict > 0) {
                     continue;
@@ -664,6 +675,9 @@
         return null;
     }
 
+    // Preferences hold only while the server has at most a quarter more than its part of what is in flight.
+    private static final double PREFER = 1.25;
+
     private static boolean tried(Tx tx, Server server) {
         for (Hop hop : tx.hops) {
             if (hop.server == server) {
