--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -818,7 +818,7 @@
         for (Server server : servers) {
             double calls = server.calls.total(now);
             double answers = server.answers.total(now);
-            boolean slow = answers >= FEW_CALLS && server.slowness.total(now) / answers > 2 * median;
+            boolean slow = answers >= FEW_CALLS && server.slowness.total(now) / answers > SLOW * median;
             boolean failing = calls >= FEW_CALLS && server.failures.total(now) > 0.1 * calls;
             server.drop = Math.max(0, Math.min(1, server.drop + (slow || failing ? GRADE_STEP : -GRADE_STEP)));
             if (server.ready && !server.shut) {
@@ -836,6 +836,7 @@
 
     private static final long GRADE_EVERY = 10_000;
     private static final double GRADE_STEP = 0.04;
+    private static final double SLOW = 1.3;
     // The design's least number of calls.
     private static final int FEW_CALLS = 5;
     private long nextGrade;
