--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -493,7 +493,8 @@
             if (!tx.hops.isEmpty()) {
                 return ON;
             }
-            double rate = commits.total(now) / COMMIT_SPAN;
+            // A sidecar that has just started has not yet seen a whole span.
+            double rate = commits.total(now) / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
             if (commits.total(now) < 10) {
                 return ON;
             }
@@ -520,6 +521,7 @@
     }
 
     private static final long COMMIT_SPAN = 10_000;
+    private long firstSent = -1;
     private final Buckets commits = new Buckets(COMMIT_SPAN, 10);
     private final Buckets arrivals = new Buckets(50_000, 5);
     private final Buckets[] customerArrivals;
@@ -586,6 +588,7 @@
     }
 
     private void send(long now, Tx tx, Server server, boolean trial) {
+        firstSent = firstSent < 0 ? now : firstSent;
         Hop hop = new Hop(server, now, expected(tx), trial);
         if (server.out == 0) {
             server.lastAnswer = Math.max(server.lastAnswer, now);
