--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -493,19 +493,7 @@
             if (!tx.hops.isEmpty()) {
                 return ON;
             }
-            // A sidecar that has just started has not yet seen a whole span.
-            double rate = commits.total(now) / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
-            if (commits.total(now) < 10) {
-                return ON;
-            }
-            double wait = openOut / rate * usual[tx.profile] / Math.max(usualAll, 1);
-            double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
-                    2 * bare[tx.profile]);
-            double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
-            if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
-                bound *= 0.8;
-            }
-            if (chance() < Math.min(0.9, 2 * (wait / bound - 1))) {
+            if (chance() < Math.min(0.9, 2 * (crowding(now, tx) - 1))) {
                 giveUp(tx, terms.longestPause());
                 return ENDED;
             }
@@ -520,6 +508,24 @@
         }
     }
 
+    /** The wait expected of a hop sent now, by Little's law, over the wait that the transaction may have. */
+    private double crowding(long now, Tx tx) {
+        double committed = commits.total(now);
+        if (committed < 10) {
+            return 0;
+        }
+        // A sidecar that has just started has not yet seen a whole span.
+        double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
+        double wait = openOut / rate * usual[tx.profile] / Math.max(usualAll, 1);
+        double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
+                2 * bare[tx.profile]);
+        double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
+        if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
+            bound *= 0.8;
+        }
+        return wait / bound;
+    }
+
     private static final long COMMIT_SPAN = 10_000;
     private long firstSent = -1;
     private final Buckets commits = new Buckets(COMMIT_SPAN, 10);
@@ -649,7 +655,7 @@
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
         for (int strict = 4; strict >= 0; strict--) {
             Server cold = null;
-            if (strict == 4 && !atHome && !keyed) {
+            if (strict == 4 && !atHome && !keyed && crowding(now, tx) < CROWDED) {
                 continue;
             }
             if (strict < 4) {
@@ -679,7 +685,9 @@
     }
 
     // Preferences hold only while the server has at most a quarter more than its part of what is in flight.
+    // When half of the wait that a transaction may have is used up, every pick keeps to that bound.
     private static final double PREFER = 1.25;
+    private static final double CROWDED = 0.5;
 
     private static boolean tried(Tx tx, Server server) {
         for (Hop hop : tx.hops) {
@@ -838,7 +846,7 @@
     }
 
     private static final long GRADE_EVERY = 10_000;
-    private static final double GRADE_STEP = 0.04;
+    private static final double GRADE_STEP = 0.05;
     private static final double SLOW = 1.3;
     // The design's least number of calls.
     private static final int FEW_CALLS = 5;
