--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -516,7 +516,8 @@
         }
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
-        double wait = openOut / rate * usual[tx.profile] / Math.max(usualAll, 1);
+        // Counts this small vary by their root: the wait is one that is exceeded with some certainty.
+        double wait = (openOut - Math.sqrt(openOut)) / rate * usual[tx.profile] / Math.max(usualAll, 1);
         double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
                 2 * bare[tx.profile]);
         double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
