--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -504,6 +504,7 @@
         public void back(long now, Tx tx, Hop hop, long took) {
             if (hop.outcome == Outcome.COMMITTED) {
                 commits.add(now, 1);
+                commitTook.add(now, took);
             }
         }
     }
@@ -516,8 +517,9 @@
         }
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
-        // Counts this small vary by their root: the wait is one that is exceeded with some certainty.
-        double wait = (openOut - Math.sqrt(openOut)) / rate * usual[tx.profile] / Math.max(usualAll, 1);
+        // Few hops make the first figure jump; the mean of those that just ended, which lags, tempers it.
+        double wait = Math.min(openOut / rate, 1.5 * commitTook.total(now) / committed)
+                * usual[tx.profile] / Math.max(usualAll, 1);
         double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
                 2 * bare[tx.profile]);
         double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
@@ -530,6 +532,7 @@
     private static final long COMMIT_SPAN = 10_000;
     private long firstSent = -1;
     private final Buckets commits = new Buckets(COMMIT_SPAN, 10);
+    private final Buckets commitTook = new Buckets(COMMIT_SPAN, 10);
     private final Buckets arrivals = new Buckets(50_000, 5);
     private final Buckets[] customerArrivals;
     private int openOut;
