--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -518,10 +518,10 @@
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
         // Few hops make the first figure jump; the mean of those that just ended, which lags, tempers it.
-        double wait = Math.min(openOut / rate, 1.5 * commitTook.total(now) / committed)
+        double wait = Math.min(openOut / rate, 1.3 * commitTook.total(now) / committed)
                 * usual[tx.profile] / Math.max(usualAll, 1);
         double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
-                2 * bare[tx.profile]);
+                1.6 * bare[tx.profile]);
         double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
         if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
             bound *= 0.8;
@@ -544,7 +544,7 @@
         rank = new double[n];
         double most = terms.profiles().stream().mapToDouble(Terms.Profile::revenue).max().orElse(1);
         for (int i = 0; i < n; i++) {
-            rank[i] = 0.3 + 0.15 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
+            rank[i] = 0.2 + 0.15 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
         }
     }
 
