--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -512,13 +512,12 @@
     /** The wait expected of a hop sent now, by Little's law, over the wait that the transaction may have. */
     private double crowding(long now, Tx tx) {
         double committed = commits.total(now);
-        if (committed < 10) {
-            return 0;
-        }
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
-        // Few hops make the first figure jump; the mean of those that just ended, which lags, tempers it.
-        double wait = Math.min(openOut / rate, 1.3 * commitTook.total(now) / committed)
+        // Few hops make Little's figure jump; the ages of hops still out and the times of those that just ended
+        // temper it. Before the first answers the ages alone tell.
+        double wait = (committed < 10 ? meanAge
+                : Math.min(openOut / rate, Math.max(meanAge, 1.3 * commitTook.total(now) / committed)))
                 * usual[tx.profile] / Math.max(usualAll, 1);
         double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
                 1.6 * bare[tx.profile]);
@@ -531,6 +530,7 @@
 
     private static final long COMMIT_SPAN = 10_000;
     private long firstSent = -1;
+    private double meanAge;
     private final Buckets commits = new Buckets(COMMIT_SPAN, 10);
     private final Buckets commitTook = new Buckets(COMMIT_SPAN, 10);
     private final Buckets arrivals = new Buckets(50_000, 5);
@@ -883,15 +883,22 @@
         for (Server server : servers) {
             server.silence = 0;
         }
+        double ages = 0;
+        int counted = 0;
         for (Tx tx : open) {
             for (Hop hop : tx.hops) {
                 if (hop.outcome == null && !tx.streaming) {
                     Server server = hop.server;
+                    if (!server.shut) {
+                        ages += now - hop.sent;
+                        counted++;
+                    }
                     long unheard = now - Math.max(hop.sent, server.lastAnswer);
                     server.silence += unheard / (hop.expected * Math.max(1, server.pace));
                 }
             }
         }
+        meanAge = counted == 0 ? 0 : ages / counted;
         for (Server server : servers) {
             if (!server.shut && server.silence > SILENCE) {
                 shut(now, server, 1);
