--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -175,13 +175,13 @@
         int profiles = terms.profiles().size();
         usual = new double[profiles];
         usualCost = new double[profiles];
-        bare = new double[profiles];
         for (int i = 0; i < profiles; i++) {
             // A quarter of the service goal until the first answers tell.
             usual[i] = terms.profiles().get(i).serviceGoal() / 4.0;
             usualAll += usual[i] / profiles;
-            bare[i] = usual[i];
+            usualGoal += (double) terms.profiles().get(i).serviceGoal() / profiles;
         }
+        bare = usualAll;
         customerArrivals = new Buckets[Math.max(1, terms.customers().size())];
         for (int i = 0; i < customerArrivals.length; i++) {
             customerArrivals[i] = new Buckets(50_000, 5);
@@ -516,11 +516,9 @@
         double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
         // Few hops make Little's figure jump; the ages of hops still out and the times of those that just ended
         // temper it. Before the first answers the ages alone tell.
-        double wait = (committed < 10 ? meanAge
-                : Math.min(openOut / rate, Math.max(meanAge, 1.3 * commitTook.total(now) / committed)))
-                * usual[tx.profile] / Math.max(usualAll, 1);
-        double bound = Math.max(terms.profiles().get(tx.profile).serviceGoal() * rank[tx.profile],
-                1.6 * bare[tx.profile]);
+        double wait = committed < 10 ? meanAge
+                : Math.min(openOut / rate, Math.max(meanAge, 1.3 * commitTook.total(now) / committed));
+        double bound = Math.max(usualGoal * rank[tx.profile], 1.6 * bare);
         double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
         if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
             bound *= 0.8;
@@ -751,7 +749,8 @@
 
     private final double[] usual;
     private final double[] usualCost;
-    private final double[] bare;
+    private double bare;
+    private double usualGoal;
     private double usualAll;
 
     /** How long a hop of this transaction usually takes, over all servers: its profile's mean, by its cost hint. */
@@ -797,7 +796,8 @@
             server.pace += 0.1 * (took / hop.expected - server.pace);
             usual[tx.profile] += 0.02 * (took - usual[tx.profile]);
             usualAll += 0.02 * (took - usualAll);
-            bare[tx.profile] = Math.min(bare[tx.profile] * 1.0002, usual[tx.profile]);
+            usualGoal += 0.02 * (terms.profiles().get(tx.profile).serviceGoal() - usualGoal);
+            bare = Math.min(bare * 1.0001, usualAll);
             if (tx.cost > 0) {
                 double step = usualCost[tx.profile] == 0 ? 1 : 0.02;
                 usualCost[tx.profile] += step * (tx.cost - usualCost[tx.profile]);
