Best latency drifts by time, not by commits

Cause: 300 commits a second doubled the best latency in half a minute, so a jam raised its own permitted wait.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -751,6 +751,8 @@
     private final double[] usualCost;
     private double bare;
     private double usualGoal;
+    // A best time is forgotten at 0.2% a second: a tenth in a minute, so that a long jam does not pass for health.
+    private static final double BARE_DRIFT = 1.002;
     private double usualAll;
 
     /** How long a hop of this transaction usually takes, over all servers: its profile's mean, by its cost hint. */
@@ -797,7 +799,7 @@
             usual[tx.profile] += 0.02 * (took - usual[tx.profile]);
             usualAll += 0.02 * (took - usualAll);
             usualGoal += 0.02 * (terms.profiles().get(tx.profile).serviceGoal() - usualGoal);
-            bare = Math.min(bare * 1.0001, usualAll);
+            bare = Math.min(bare, usualAll);
             if (tx.cost > 0) {
                 double step = usualCost[tx.profile] == 0 ? 1 : 0.02;
                 usualCost[tx.profile] += step * (tx.cost - usualCost[tx.profile]);
@@ -846,6 +848,7 @@
                 }
             }
         }
+        bare *= BARE_DRIFT;
         leanHome(homeSlow, homeCalls, farSlow, farCalls);
     }
 
