--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -83,7 +83,7 @@
         final Buckets lateCalls = new Buckets(20_000, 4);
         final Buckets lateFailures = new Buckets(20_000, 4);
         long lastAnswer;
-        boolean lastFailed;
+        int failedInRow;
         double silence;
         boolean shut;
         long tryAt;
@@ -102,7 +102,7 @@
             pace = 1;
             shut = false;
             patience = FIRST_TRIAL;
-            lastFailed = false;
+            failedInRow = 0;
             lastAnswer = now;
             for (Buckets each : List.of(calls, failures, answers, slowness, lateCalls, lateFailures)) {
                 Arrays.fill(each.sums, 0);
@@ -418,7 +418,7 @@
             }
             boolean further = !tx.hops.isEmpty();
             // A further hop only if the time left exceeds the time it is expected to take.
-            if (now >= tx.end || further && tx.end - now <= expected(tx) || further && hopTokens < 1) {
+            if (now >= tx.end || further && tx.end - now <= expected(tx) || further && costly(tx) && hopTokens < 1) {
                 if (tx.out == 0) {
                     giveUp(tx, 0);
                 }
@@ -436,6 +436,16 @@
         }
     }
 
+    /** Whether a hop before reached a server, so that one more adds to the servers' work. */
+    private static boolean costly(Tx tx) {
+        for (Hop hop : tx.hops) {
+            if (hop.outcome != Outcome.NO_CONNECTION && hop.outcome != Outcome.NOT_SENT) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     // Further hops: one for every five arrivals, as the design's step; twenty saved up bridge the loss of a server.
     private static final double FURTHER_SHARE = 0.2;
     private static final double HOP_TOKENS = 20;
@@ -567,7 +577,7 @@
                 }
                 return KEPT;
             }
-            if (!tx.hops.isEmpty()) {
+            if (costly(tx)) {
                 hopTokens--;
             }
             send(now, tx, server, trial != null);
@@ -674,7 +684,7 @@
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
                                 || server.out >= PREFER * mean * server.weight + 1)
-                        || strict > 2 && trusted && server.lastFailed
+                        || strict > 2 && trusted && server.failedInRow > 0
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
                         || !maySend(now, tx, server) || tried(tx, server) && strict > 0) {
                     continue;
@@ -787,10 +797,10 @@
         if (failed && !(silent && took < 2 * hop.expected)) {
             server.failures.add(now, 1);
             server.lateFailures.add(now, 1);
-            server.lastFailed = true;
+            server.failedInRow++;
         }
         if (!failed) {
-            server.lastFailed = false;
+            server.failedInRow = 0;
             if (server.warmth(now) >= 1) {
                 carriedWork.add(now, hop.expected);
             }
@@ -810,9 +820,10 @@
         }
         if (server.shut) {
             trialEnded(now, server, failed, hop.trial);
-        } else if (failed && server.lateFailures.total(now) >= FAILING_CALLS
-                && server.lateFailures.total(now) >= FAILING_SHARE * server.lateCalls.total(now)) {
-            shut(now, server, FAILING_TRIALS);
+        } else if (failed && (outcome == Outcome.NO_CONNECTION && server.failedInRow >= 2
+                || server.failedInRow >= FAILING_CALLS || server.lateFailures.total(now) >= FAILING_CALLS
+                && server.lateFailures.total(now) >= FAILING_SHARE * server.lateCalls.total(now))) {
+            shut(now, server, outcome == Outcome.NO_CONNECTION ? 1 : FAILING_TRIALS);
         }
     }
 
