--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -84,6 +84,8 @@
         final Buckets lateFailures = new Buckets(20_000, 4);
         long lastAnswer;
         int failedInRow;
+        int roof;
+        long roofUntil;
         double silence;
         boolean shut;
         long tryAt;
@@ -685,6 +687,7 @@
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
                                 || server.out >= PREFER * mean * server.weight + 1)
                         || strict > 2 && trusted && server.failedInRow > 0
+                        || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
                         || !maySend(now, tx, server) || tried(tx, server) && strict > 0) {
                     continue;
@@ -799,6 +802,10 @@
             server.lateFailures.add(now, 1);
             server.failedInRow++;
         }
+        if (outcome == Outcome.NO_CONNECTION) {
+            server.roof = Math.max(1, server.out);
+            server.roofUntil = now + ROOF_FOR;
+        }
         if (!failed) {
             server.failedInRow = 0;
             if (server.warmth(now) >= 1) {
@@ -827,6 +834,10 @@
         }
     }
 
+    // A server that takes no further connection may still serve on those it has (incident i9f667e): for this long
+    // no more hops are out to it at once than then; about as long as shutting out lasts between its trials.
+    private static final long ROOF_FOR = 20_000;
+
     /** The design's step, five times smaller and five times as often: 0.2 in 5 s at the most. */
     private void grade(long now) {
         double[] means = new double[servers.size()];
