--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -533,7 +533,7 @@
         // temper it. Before the first answers the ages alone tell.
         double wait = committed < 10 ? meanAge
                 : Math.min(openOut / rate, Math.max(meanAge, 1.3 * commitTook.total(now) / committed));
-        double bound = Math.max(usualGoal * rank[tx.profile], 1.6 * bare);
+        double bound = Math.max(usualGoal * rank[tx.profile], 1.6 * bare) * (1 + 2 / Math.sqrt(committed + 1));
         double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
         if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
             bound *= 0.8;
