--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -177,6 +177,7 @@
         int profiles = terms.profiles().size();
         usual = new double[profiles];
         usualCost = new double[profiles];
+        callDrop = new double[profiles];
         for (int i = 0; i < profiles; i++) {
             // A quarter of the service goal until the first answers tell.
             usual[i] = terms.profiles().get(i).serviceGoal() / 4.0;
@@ -302,6 +303,7 @@
             outlet.subscribe();
         }
         listen(now);
+        dropCalls(now);
         if (now >= nextGrade) {
             nextGrade = now + GRADE_EVERY;
             grade(now);
@@ -505,7 +507,8 @@
             if (!tx.hops.isEmpty()) {
                 return ON;
             }
-            if (chance() < Math.min(MOST_DROPPED, 2 * (crowding(now, tx) - 1))) {
+            double dropped = callDrop[tx.profile] * (overShare(now, tx) ? 1 + callDrop[tx.profile] : 1);
+            if (chance() < Math.min(MOST_DROPPED, dropped)) {
                 giveUp(tx, terms.longestPause());
                 return ENDED;
             }
@@ -524,8 +527,8 @@
     // Clients that retry can ask for many times the capacity; one in fifty still passes, to measure by.
     private static final double MOST_DROPPED = 0.98;
 
-    /** The wait expected of a hop sent now, by Little's law, over the wait that the transaction may have. */
-    private double crowding(long now, Tx tx) {
+    /** Every beat: the wait expected of a hop sent now, and with it the call drop rate of each profile. */
+    private void dropCalls(long now) {
         double committed = commits.total(now);
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
@@ -533,14 +536,23 @@
         // temper it. Before the first answers the ages alone tell.
         double wait = committed < 10 ? meanAge
                 : Math.min(openOut / rate, Math.max(meanAge, 1.3 * commitTook.total(now) / committed));
-        double bound = Math.max(usualGoal * rank[tx.profile], 1.6 * bare) * (1 + 2 / Math.sqrt(committed + 1));
-        double share = customerArrivals[tx.customer].total(now) / arrivals.total(now);
-        if (!terms.customers().isEmpty() && share > terms.customers().get(tx.customer).share() * 1.1) {
-            bound *= 0.8;
+        crowding = wait / usualGoal;
+        for (int i = 0; i < callDrop.length; i++) {
+            double bound = Math.max(usualGoal * rank[i], 1.6 * bare);
+            double step = DROP_STEP * Math.max(-1, Math.min(1, wait / bound - 1));
+            callDrop[i] = Math.max(0, Math.min(1, callDrop[i] + step));
         }
-        return wait / bound;
     }
 
+    private boolean overShare(long now, Tx tx) {
+        return !terms.customers().isEmpty() && customerArrivals[tx.customer].total(now)
+                > 1.1 * terms.customers().get(tx.customer).share() * arrivals.total(now);
+    }
+
+    // Per beat: a wait of twice what is permitted drops all calls after a fifth of a second, about one hop's time.
+    private static final double DROP_STEP = 0.05;
+    private final double[] callDrop;
+    private double crowding;
     private static final long COMMIT_SPAN = 10_000;
     private long firstSent = -1;
     private double meanAge;
@@ -672,7 +684,7 @@
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
         for (int strict = 4; strict >= 0; strict--) {
             Server cold = null;
-            if (strict == 4 && !atHome && !keyed && crowding(now, tx) < CROWDED) {
+            if (strict == 4 && !atHome && !keyed && crowding < CROWDED) {
                 continue;
             }
             if (strict < 4) {
@@ -705,7 +717,7 @@
     // Preferences hold only while the server has at most a quarter more than its part of what is in flight.
     // When half of the wait that a transaction may have is used up, every pick keeps to that bound.
     private static final double PREFER = 1.25;
-    private static final double CROWDED = 0.5;
+    private static final double CROWDED = 0.15;
 
     private static boolean tried(Tx tx, Server server) {
         for (Hop hop : tx.hops) {
