--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -538,7 +538,7 @@
                 : Math.min(openOut / rate, Math.max(meanAge, 1.3 * commitTook.total(now) / committed));
         crowding = wait / usualGoal;
         for (int i = 0; i < callDrop.length; i++) {
-            double bound = Math.max(usualGoal * rank[i], 1.4 * bare);
+            double bound = Math.max(usualGoal * rank[i], 1.8 * bare);
             double step = DROP_STEP * Math.max(-1, Math.min(1, wait / bound - 1));
             callDrop[i] = Math.max(0, Math.min(1, callDrop[i] + step));
         }
@@ -569,7 +569,7 @@
         rank = new double[n];
         double most = terms.profiles().stream().mapToDouble(Terms.Profile::revenue).max().orElse(1);
         for (int i = 0; i < n; i++) {
-            rank[i] = 0.17 + 0.13 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
+            rank[i] = 0.2 + 0.2 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
         }
     }
 
