--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -535,10 +535,10 @@
         // Few hops make Little's figure jump; the ages of hops still out and the times of those that just ended
         // temper it. Before the first answers the ages alone tell.
         double wait = committed < 10 ? meanAge
-                : Math.min(openOut / rate, Math.max(meanAge, 1.3 * commitTook.total(now) / committed));
+                : Math.min(openOut / rate, Math.max(meanAge, commitTook.total(now) / committed));
         crowding = wait / usualGoal;
         for (int i = 0; i < callDrop.length; i++) {
-            double bound = Math.max(usualGoal * rank[i], 1.8 * bare);
+            double bound = Math.max(usualGoal * rank[i], 1.5 * bare);
             double step = DROP_STEP * Math.max(-1, Math.min(1, wait / bound - 1));
             callDrop[i] = Math.max(0, Math.min(1, callDrop[i] + step));
         }
