--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -169,6 +169,7 @@
     private int[] ringServer = new int[0];
     private int[] ringOrdinal = new int[0];
     private double readyWeight;
+    private double steadyWeight;
 
     public Balance(Terms terms, long seed, Outlet outlet) {
         this.terms = terms;
@@ -517,7 +518,7 @@
 
         @Override
         public void back(long now, Tx tx, Hop hop, long took) {
-            if (hop.outcome == Outcome.COMMITTED) {
+            if (hop.outcome == Outcome.COMMITTED && steady(now, hop.server)) {
                 commits.add(now, 1);
                 commitTook.add(now, took);
             }
@@ -631,7 +632,7 @@
         tx.hops.add(hop);
         tx.out++;
         server.out++;
-        openOut += server.shut ? 0 : 1;
+        openOut += steady(now, server) ? 1 : 0;
         server.sentCold.add(now, hop.expected);
         server.trialsOut += trial ? 1 : 0;
         outlet.send(tx.id, server.id, tx.end - now);
@@ -680,7 +681,7 @@
             start = (at < 0 ? -at - 1 : at) % n;
             keyed = true;
         }
-        double mean = openOut / Math.max(readyWeight, 1e-9);
+        double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
         for (int strict = 4; strict >= 0; strict--) {
             Server cold = null;
@@ -719,6 +720,11 @@
     private static final double PREFER = 1.25;
     private static final double CROWDED = 0.15;
 
+    /** Warm and not shut out: what the wait and the mean in flight are measured on. */
+    private static boolean steady(long now, Server server) {
+        return !server.shut && (server.launched == 0 || server.warmth(now) >= 1);
+    }
+
     private static boolean tried(Tx tx, Server server) {
         for (Hop hop : tx.hops) {
             if (hop.server == server) {
@@ -795,7 +801,7 @@
     private void track(long now, Tx tx, Hop hop, long took) {
         Server server = hop.server;
         server.out--;
-        openOut = Math.max(0, openOut - (server.shut ? 0 : 1));
+        openOut = Math.max(0, openOut - (steady(now, server) ? 1 : 0));
         server.trialsOut -= hop.trial ? 1 : 0;
         Outcome outcome = hop.outcome;
         if (outcome == Outcome.CALLED_OFF || outcome == Outcome.NOT_SENT) {
@@ -920,25 +926,27 @@
 
     /** Every beat: how unlikely each server's silence is, from the hops out to it since its last answer. */
     private void listen(long now) {
+        steadyWeight = 0;
         for (Server server : servers) {
             server.silence = 0;
+            steadyWeight += server.ready && steady(now, server) ? server.weight : 0;
         }
         double ages = 0;
-        int counted = 0;
+        openOut = 0;
         for (Tx tx : open) {
             for (Hop hop : tx.hops) {
                 if (hop.outcome == null && !tx.streaming) {
                     Server server = hop.server;
-                    if (!server.shut) {
+                    if (steady(now, server)) {
                         ages += now - hop.sent;
-                        counted++;
+                        openOut++;
                     }
                     long unheard = now - Math.max(hop.sent, server.lastAnswer);
                     server.silence += unheard / (hop.expected * Math.max(1, server.pace));
                 }
             }
         }
-        meanAge = counted == 0 ? 0 : ages / counted;
+        meanAge = openOut == 0 ? 0 : ages / openOut;
         for (Server server : servers) {
             if (!server.shut && server.silence > SILENCE) {
                 shut(now, server, 1);
@@ -967,7 +975,6 @@
         server.shut = true;
         server.trialsLeft = trials;
         server.tryAt = now + server.patience;
-        openOut = Math.max(0, openOut - server.out);
     }
 
     private void trialEnded(long now, Server server, boolean failed, boolean trial) {
@@ -981,7 +988,6 @@
         if (--server.trialsLeft <= 0) {
             server.shut = false;
             server.patience = FIRST_TRIAL;
-            openOut += server.out;
             Arrays.fill(server.lateFailures.sums, 0);
         } else {
             server.tryAt = now;
