Cold budget in units that crowding does not change, per weight at the time

Cause: work carried was divided by the warm weight left after the loss and its peak was kept, and a jam had inflated the unit.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -84,6 +84,7 @@
         final Buckets lateFailures = new Buckets(20_000, 4);
         long lastAnswer;
         int failedInRow;
+        long lastSent;
         int roof;
         long roofUntil;
         double silence;
@@ -633,7 +634,8 @@
         tx.out++;
         server.out++;
         openOut += steady(now, server) ? 1 : 0;
-        server.sentCold.add(now, hop.expected);
+        server.sentCold.add(now, cost(tx));
+        server.lastSent = now;
         server.trialsOut += trial ? 1 : 0;
         outlet.send(tx.id, server.id, tx.end - now);
     }
@@ -764,20 +766,24 @@
         if (strict > 2 && chance() > warmth) {
             return false;
         }
-        double sent = server.sentCold.total(now);
-        double carried = carriedWork.total(now) / CARRIED_SPAN / Math.max(carriedWeight, 1e-9);
-        carriedPeak = Math.max(carriedPeak, carried);
-        double budget = COLD_MARGIN * terms.fallMultiple() * warmth * carriedPeak * server.weight * terms.fallSpan();
-        return sent == 0 || sent + expected(tx) <= budget;
+        double budget = COLD_MARGIN * terms.fallMultiple() * warmth * server.weight * terms.fallSpan()
+                * carried.total(now) / CARRIED_SPAN;
+        // However little is known, a hop now and then: at most one core's cold share if every sidecar does the same.
+        long apart = (long) (terms.sidecars() * bare / (terms.coldFrom() * terms.fallMultiple()));
+        return server.sentCold.total(now) + cost(tx) <= budget || now - server.lastSent > Math.max(apart, terms.fallSpan());
+    }
+
+    /** What the transaction asks of a server, in the same unit whether servers are crowded or not. */
+    private double cost(Tx tx) {
+        return tx.cost > 0 ? tx.cost : 1_000 * usual[tx.profile] / usualAll;
     }
 
     // Half of what the rule allows if every sidecar does the same: costs are guessed, and what like servers carry
     // is at most their capacity.
     private static final double COLD_MARGIN = 0.5;
-    private static final long CARRIED_SPAN = 50_000;
-    private final Buckets carriedWork = new Buckets(CARRIED_SPAN, 5);
-    private double carriedWeight;
-    private double carriedPeak;
+    private static final long CARRIED_SPAN = 100_000;
+    /** Work committed by warm servers, for each unit of their weight at that time. */
+    private final Buckets carried = new Buckets(CARRIED_SPAN, 10);
 
     // ------------------------------------------------------------------ the call tracker and the drop rate
 
@@ -826,8 +832,8 @@
         }
         if (!failed) {
             server.failedInRow = 0;
-            if (server.warmth(now) >= 1) {
-                carriedWork.add(now, hop.expected);
+            if (server.warmth(now) >= 1 && steadyWeight > 0) {
+                carried.add(now, cost(tx) / steadyWeight);
             }
         }
         if (!failed || silent) {
@@ -860,10 +866,8 @@
     private void grade(long now) {
         double[] means = new double[servers.size()];
         int n = 0;
-        carriedWeight = 0;
         for (Server server : servers) {
             if (server.ready) {
-                carriedWeight += server.warmth(now) >= 1 && !server.shut ? server.weight : 0;
                 if (server.answers.total(now) >= FEW_CALLS) {
                     means[n++] = server.slowness.total(now) / server.answers.total(now);
                 }
