--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.zip.CRC32;
+import trestlegrade.Tx.Hop;
 
 /**
  * All decisions of one sidecar: where each transaction's hops go, and when it is given up.
@@ -29,135 +29,9 @@
 
     // ------------------------------------------------------------------ what is known of servers and transactions
 
-    /** Sums over time, in buckets of fixed width used again in a ring. */
-    static final class Buckets {
-        private final long width;
-        private final double[] sums;
-        private long at;
-
-        Buckets(long span, int count) {
-            width = Math.max(1, span / count);
-            sums = new double[count];
-        }
-
-        void add(long now, double amount) {
-            turn(now);
-            sums[(int) (at % sums.length)] += amount;
-        }
-
-        double total(long now) {
-            turn(now);
-            double total = 0;
-            for (double sum : sums) {
-                total += sum;
-            }
-            return total;
-        }
-
-        private void turn(long now) {
-            long bucket = now / width;
-            for (long b = Math.max(at + 1, bucket - sums.length + 1); b <= bucket; b++) {
-                sums[(int) (b % sums.length)] = 0;
-            }
-            at = Math.max(at, bucket);
-        }
-    }
-
-    private final class Server {
-        final long id;
-        int zone;
-        int cell;
-        double weight = 1;
-        long launched;
-        boolean ready;
-        int out;
-        // Call tracker and drop rate. Five one-second buckets: the design's 5 s.
-        final Buckets calls = new Buckets(50_000, 5);
-        final Buckets failures = new Buckets(50_000, 5);
-        final Buckets answers = new Buckets(50_000, 5);
-        final Buckets slowness = new Buckets(50_000, 5);
-        double drop;
-        int points;
-        double pace = 1;
-        // Shutting out.
-        final Buckets lateCalls = new Buckets(20_000, 4);
-        final Buckets lateFailures = new Buckets(20_000, 4);
-        long lastAnswer;
-        int failedInRow;
-        long lastSent;
-        int roof;
-        long roofUntil;
-        double silence;
-        boolean shut;
-        long tryAt;
-        long patience;
-        int trialsLeft;
-        int trialsOut;
-        final Buckets sentCold = new Buckets(terms.fallSpan() + terms.fallSpan() / 8, 9);
-
-        Server(long id) {
-            this.id = id;
-        }
-
-        /** Forgets what was measured of an earlier life. */
-        void startAfresh(long now, double meanDrop) {
-            drop = meanDrop;
-            pace = 1;
-            shut = false;
-            patience = FIRST_TRIAL;
-            failedInRow = 0;
-            lastAnswer = now;
-            for (Buckets each : List.of(calls, failures, answers, slowness, lateCalls, lateFailures)) {
-                Arrays.fill(each.sums, 0);
-            }
-        }
-
-        /** Its share of full capacity, at the least; 1 once it is warm. */
-        double warmth(long now) {
-            long age = now - launched;
-            if (launched == 0 || age >= terms.coldFor()) {
-                return 1;
-            }
-            return terms.coldFrom() + (1 - terms.coldFrom()) * Math.max(0, age) / terms.coldFor();
-        }
-    }
-
-    private static final class Hop {
-        final Server server;
-        final long sent;
-        final double expected;
-        final boolean trial;
-        Outcome outcome;
-
-        Hop(Server server, long sent, double expected, boolean trial) {
-            this.server = server;
-            this.sent = sent;
-            this.expected = expected;
-            this.trial = trial;
-        }
-    }
-
-    private static final class Tx {
-        long id;
-        int profile;
-        int customer;
-        long key;
-        long arrived;
-        long end;
-        double cost;
-        boolean over;
-        boolean done;
-        boolean streaming;
-        int out;
-        final List<Hop> hops = new ArrayList<>(3);
-    }
-
     private final Terms terms;
     private final Outlet outlet;
-    private final long seed;
-    private long drawn;
-    private final CRC32 crc = new CRC32();
-    private final byte[] crcInput = new byte[16];
+    private final Chance chance;
 
     private final LongIntHashMap serverIndex = new LongIntHashMap();
     private final List<Server> servers = new ArrayList<>();
@@ -174,7 +48,7 @@
 
     public Balance(Terms terms, long seed, Outlet outlet) {
         this.terms = terms;
-        this.seed = seed;
+        this.chance = new Chance(seed);
         this.outlet = outlet;
         int profiles = terms.profiles().size();
         usual = new double[profiles];
@@ -218,7 +92,7 @@
             if (fresh) {
                 index = servers.size();
                 serverIndex.put(row.id(), index);
-                servers.add(new Server(row.id()));
+                servers.add(new Server(row.id(), index, terms.fallSpan()));
             }
             Server server = servers.get(index);
             if (row.state() == Listed.State.GONE) {
@@ -226,7 +100,7 @@
                 continue;
             }
             if (fresh || row.launched() > server.launched) {
-                server.startAfresh(now, meanDrop());
+                server.startAfresh(now, meanDrop(), FIRST_TRIAL);
             }
             server.ready = row.state() == Listed.State.READY;
             server.zone = row.zone();
@@ -243,18 +117,11 @@
         // Back-off doubles from 100 ms to an eighth of the time within which it must have been asked; the spread
         // keeps sidecars that failed together from asking together.
         long wait = Math.min(1_000L << Math.min(listFailures++, 6), terms.askWithin() / 8);
-        askListAt = now + wait / 2 + (long) (wait * chance());
+        askListAt = now + wait / 2 + (long) (wait * chance.next());
     }
 
     public void arrived(long now, long id, int profile, int customer, long key, long patience, long cost) {
-        Tx tx = new Tx();
-        tx.id = id;
-        tx.profile = profile;
-        tx.customer = customer < customerArrivals.length ? customer : 0;
-        tx.key = key;
-        tx.arrived = now;
-        tx.end = now + patience;
-        tx.cost = cost;
+        Tx tx = new Tx(id, profile, customer < customerArrivals.length ? customer : 0, key, now, now + patience, cost);
         txById.put(id, tx);
         open.add(tx);
         arrivals.add(now, 1);
@@ -350,23 +217,13 @@
 
     // ------------------------------------------------------------------ rules 1 and 2: what may still be done
 
-    /** Rule 2. The first hop that ran or may have run (one still out may run), or null. */
-    private static Hop mayHaveRun(Tx tx) {
-        for (Hop hop : tx.hops) {
-            if (hop.outcome == null || !hop.outcome.neverRan) {
-                return hop;
-            }
-        }
-        return null;
-    }
-
     /** Rule 2. Whether the transaction may be sent (again) to this server. */
     private boolean maySend(long now, Tx tx, Server server) {
         if (tx.done || tx.hops.size() >= terms.maxHops() || tx.out > 0 && !terms.secondCopies()) {
             return false;
         }
         Terms.Profile profile = terms.profiles().get(tx.profile);
-        Hop first = mayHaveRun(tx);
+        Hop first = tx.mayHaveRun();
         if (first == null || profile.repeat() == Terms.Repeat.IDEMPOTENT) {
             return true;
         }
@@ -383,7 +240,7 @@
     /** Rule 2. Whether the client may be told that trying again is harmless. */
     private boolean mayRollBack(Tx tx) {
         Terms.Profile profile = terms.profiles().get(tx.profile);
-        return profile.repeat() == Terms.Repeat.IDEMPOTENT || mayHaveRun(tx) == null
+        return profile.repeat() == Terms.Repeat.IDEMPOTENT || tx.mayHaveRun() == null
                 || profile.repeat() == Terms.Repeat.JOURNALLED && profile.group() == Terms.Group.ALL;
     }
 
@@ -510,7 +367,7 @@
                 return ON;
             }
             double dropped = callDrop[tx.profile] * (overShare(now, tx) ? 1 + callDrop[tx.profile] : 1);
-            if (chance() < Math.min(MOST_DROPPED, dropped)) {
+            if (chance.next() < Math.min(MOST_DROPPED, dropped)) {
                 giveUp(tx, terms.longestPause());
                 return ENDED;
             }
@@ -634,7 +491,7 @@
         tx.out++;
         server.out++;
         openOut += steady(now, server) ? 1 : 0;
-        server.sentCold.add(now, cost(tx));
+        server.sentLately.add(now, cost(tx));
         server.lastSent = now;
         server.trialsOut += trial ? 1 : 0;
         outlet.send(tx.id, server.id, tx.end - now);
@@ -649,7 +506,7 @@
         for (Server server : ready) {
             server.points = (int) Math.max(1, Math.min(4 * POINTS, Math.round(POINTS * server.weight / mean)));
             for (int ordinal = 0; ordinal < server.points; ordinal++) {
-                ring.add(new long[] {hash(server.id, ordinal), serverIndex.get(server.id), ordinal});
+                ring.add(new long[] {chance.position(server.id, ordinal), server.index, ordinal});
             }
         }
         ring.sort((a, b) -> Long.compare(a[0], b[0]));
@@ -673,13 +530,13 @@
         if (n == 0) {
             return null;
         }
-        int random = (int) (chance() * n);
+        int random = (int) (chance.next() * n);
         int start = random;
-        boolean atHome = chance() < homeLean;
+        boolean atHome = chance.next() < homeLean;
         boolean keyed = false;
         boolean trusted = terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT;
         if (terms.warmKeys() && tx.key != 0 && tx.hops.isEmpty() && seenLately(now, tx.key)) {
-            int at = Arrays.binarySearch(ringAt, hash(tx.key, -1));
+            int at = Arrays.binarySearch(ringAt, chance.position(tx.key, -1));
             start = (at < 0 ? -at - 1 : at) % n;
             keyed = true;
         }
@@ -704,7 +561,7 @@
                         || strict > 2 && trusted && server.failedInRow > 0
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
-                        || !maySend(now, tx, server) || tried(tx, server) && strict > 0) {
+                        || !maySend(now, tx, server) || tx.tried(server) && strict > 0) {
                     continue;
                 }
                 if (server.launched != 0 && !mayTakeCold(now, tx, server, strict)) {
@@ -723,17 +580,8 @@
     private static final double CROWDED = 0.15;
 
     /** Warm and not shut out: what the wait and the mean in flight are measured on. */
-    private static boolean steady(long now, Server server) {
-        return !server.shut && (server.launched == 0 || server.warmth(now) >= 1);
-    }
-
-    private static boolean tried(Tx tx, Server server) {
-        for (Hop hop : tx.hops) {
-            if (hop.server == server) {
-                return true;
-            }
-        }
-        return false;
+    private boolean steady(long now, Server server) {
+        return !server.shut && warmth(now, server) >= 1;
     }
 
     /** Points left by the drop rate, over the design's floor of one. */
@@ -743,7 +591,7 @@
 
     /** Warm keys: whether this key came by in the last while; marks it as seen. */
     private boolean seenLately(long now, long key) {
-        int slot = (int) (hash(key, -2) & seenKey.length - 1);
+        int slot = (int) (chance.position(key, -2) & seenKey.length - 1);
         boolean seen = seenKey[slot] == key && now - seenAt[slot] < SEEN_FOR;
         seenKey[slot] = key;
         seenAt[slot] = now;
@@ -757,20 +605,29 @@
 
     // ------------------------------------------------------------------ rule 4: the cold budget
 
+    /** A server's share of its full capacity, at the least; 1 once it is warm. */
+    private double warmth(long now, Server server) {
+        long age = now - server.launched;
+        if (server.launched == 0 || age >= terms.coldFor()) {
+            return 1;
+        }
+        return terms.coldFrom() + (1 - terms.coldFrom()) * Math.max(0, age) / terms.coldFor();
+    }
+
     /** Whether a server that may be cold can take this transaction: by chance as it warms, and within its budget. */
     private boolean mayTakeCold(long now, Tx tx, Server server, int strict) {
-        double warmth = server.warmth(now);
+        double warmth = warmth(now, server);
         if (warmth >= 1) {
             return true;
         }
-        if (strict > 2 && chance() > warmth) {
+        if (strict > 2 && chance.next() > warmth) {
             return false;
         }
         double budget = COLD_MARGIN * terms.fallMultiple() * warmth * server.weight * terms.fallSpan()
                 * carried.total(now) / CARRIED_SPAN;
         // However little is known, a hop now and then: at most one core's cold share if every sidecar does the same.
         long apart = (long) (terms.sidecars() * bare / (terms.coldFrom() * terms.fallMultiple()));
-        return server.sentCold.total(now) + cost(tx) <= budget || now - server.lastSent > Math.max(apart, terms.fallSpan());
+        return server.sentLately.total(now) + cost(tx) <= budget || now - server.lastSent > Math.max(apart, terms.fallSpan());
     }
 
     /** What the transaction asks of a server, in the same unit whether servers are crowded or not. */
@@ -832,7 +689,7 @@
         }
         if (!failed) {
             server.failedInRow = 0;
-            if (server.warmth(now) >= 1 && steadyWeight > 0) {
+            if (warmth(now, server) >= 1 && steadyWeight > 0) {
                 carried.add(now, cost(tx) / steadyWeight);
             }
         }
@@ -992,7 +849,7 @@
         if (--server.trialsLeft <= 0) {
             server.shut = false;
             server.patience = FIRST_TRIAL;
-            Arrays.fill(server.lateFailures.sums, 0);
+            server.lateFailures.clear();
         } else {
             server.tryAt = now;
         }
@@ -1011,20 +868,4 @@
         }
         return null;
     }
-
-    // ------------------------------------------------------------------ chance
-
-    private double chance() {
-        return (hash(seed, drawn++) & 0xffffffffL) / 4294967296.0;
-    }
-
-    private long hash(long a, long b) {
-        for (int i = 0; i < 8; i++) {
-            crcInput[i] = (byte) (a >>> 8 * i);
-            crcInput[8 + i] = (byte) (b >>> 8 * i);
-        }
-        crc.reset();
-        crc.update(crcInput, 0, 16);
-        return crc.getValue();
-    }
 }
--- /dev/null
+++ b/src/main/java/trestlegrade/Buckets.java
@@ -0,0 +1,41 @@
+package trestlegrade;
+
+import java.util.Arrays;
+
+/** Sums over time, in buckets of fixed width used again in a ring. */
+final class Buckets {
+    private final long width;
+    private final double[] sums;
+    private long at;
+
+    Buckets(long span, int count) {
+        width = Math.max(1, span / count);
+        sums = new double[count];
+    }
+
+    void add(long now, double amount) {
+        turn(now);
+        sums[(int) (at % sums.length)] += amount;
+    }
+
+    double total(long now) {
+        turn(now);
+        double total = 0;
+        for (double sum : sums) {
+            total += sum;
+        }
+        return total;
+    }
+
+    void clear() {
+        Arrays.fill(sums, 0);
+    }
+
+    private void turn(long now) {
+        long bucket = now / width;
+        for (long b = Math.max(at + 1, bucket - sums.length + 1); b <= bucket; b++) {
+            sums[(int) (b % sums.length)] = 0;
+        }
+        at = Math.max(at, bucket);
+    }
+}
--- /dev/null
+++ b/src/main/java/trestlegrade/Server.java
@@ -0,0 +1,59 @@
+package trestlegrade;
+
+/** One server as one sidecar knows it: what the list says, the call tracker's sums and the grades. */
+final class Server {
+    final long id;
+    final int index;
+    int zone;
+    int cell;
+    double weight = 1;
+    long launched;
+    boolean ready;
+    int points;
+    int out;
+    long lastSent;
+
+    // The call tracker; failures and calls once more over a shorter span.
+    final Buckets calls = new Buckets(50_000, 5);
+    final Buckets failures = new Buckets(50_000, 5);
+    final Buckets answers = new Buckets(50_000, 5);
+    final Buckets slowness = new Buckets(50_000, 5);
+    final Buckets lateCalls = new Buckets(20_000, 4);
+    final Buckets lateFailures = new Buckets(20_000, 4);
+    final Buckets sentLately;
+    double drop;
+    double pace;
+    long lastAnswer;
+    int failedInRow;
+    double silence;
+
+    // No more hops at once than the roof, and none but trials while shut out.
+    int roof;
+    long roofUntil;
+    boolean shut;
+    long tryAt;
+    long patience;
+    int trialsLeft;
+    int trialsOut;
+
+    Server(long id, int index, long coldSpan) {
+        this.id = id;
+        this.index = index;
+        // An eighth more than the span, so that the buckets always cover it.
+        sentLately = new Buckets(coldSpan + coldSpan / 8, 9);
+    }
+
+    /** Forgets what was measured of an earlier life. */
+    void startAfresh(long now, double meanDrop, long firstPatience) {
+        drop = meanDrop;
+        pace = 1;
+        shut = false;
+        patience = firstPatience;
+        failedInRow = 0;
+        roofUntil = 0;
+        lastAnswer = now;
+        for (Buckets each : new Buckets[] {calls, failures, answers, slowness, lateCalls, lateFailures}) {
+            each.clear();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/trestlegrade/Tx.java
@@ -0,0 +1,65 @@
+package trestlegrade;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One transaction from its arrival until its last hop has ended, and what its hops went through. */
+final class Tx {
+
+    /** One hop; {@code outcome} is null while it is out. */
+    static final class Hop {
+        final Server server;
+        final long sent;
+        final double expected;
+        final boolean trial;
+        Outcome outcome;
+
+        Hop(Server server, long sent, double expected, boolean trial) {
+            this.server = server;
+            this.sent = sent;
+            this.expected = expected;
+            this.trial = trial;
+        }
+    }
+
+    final long id;
+    final int profile;
+    final int customer;
+    final long key;
+    final long arrived;
+    final long end;
+    final long cost;
+    final List<Hop> hops = new ArrayList<>(3);
+    int out;
+    boolean done;
+    boolean streaming;
+
+    Tx(long id, int profile, int customer, long key, long arrived, long end, long cost) {
+        this.id = id;
+        this.profile = profile;
+        this.customer = customer;
+        this.key = key;
+        this.arrived = arrived;
+        this.end = end;
+        this.cost = cost;
+    }
+
+    boolean tried(Server server) {
+        for (Hop hop : hops) {
+            if (hop.server == server) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The first hop that ran or may have run (one still out may run), or null. */
+    Hop mayHaveRun() {
+        for (Hop hop : hops) {
+            if (hop.outcome == null || !hop.outcome.neverRan) {
+                return hop;
+            }
+        }
+        return null;
+    }
+}
