--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -181,6 +181,12 @@
         lookAfterOpen(now);
     }
 
+    /** What is known of a server, or null. */
+    Server server(long id) {
+        int index = serverIndex.getOrDefault(id, -1);
+        return index < 0 ? null : servers.get(index);
+    }
+
     // Every second tick of the coarsest site clock in use; half the slack usual for final answers.
     private static final long BEAT = 100;
     private long askListAt;
--- /dev/null
+++ b/src/test/java/trestlegrade/Desk.java
@@ -0,0 +1,133 @@
+package trestlegrade;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import trestlegrade.Listed.State;
+import trestlegrade.Terms.Group;
+import trestlegrade.Terms.Profile;
+import trestlegrade.Terms.Repeat;
+
+/** A sidecar's decisions with a fleet of ten servers (ids 100 to 109), whose answers the test gives by hand. */
+final class Desk implements Outlet {
+    record Sent(long tx, long server, long timeout, int hop) { }
+
+    final List<Sent> sent = new ArrayList<>();
+    final List<String> answers = new ArrayList<>();
+    final List<Long> calledOff = new ArrayList<>();
+    private final List<Sent> out = new ArrayList<>();
+    private final Map<Sent, Long> due = new HashMap<>();
+    private final Map<Long, Integer> hops = new HashMap<>();
+    int subscriptions;
+    long now = 1_000_000;
+    long nextTx = 1;
+    final Balance balance;
+
+    /** Profiles 0 idempotent, 1 journalled, 2 non-idempotent; goal 0.5 s, hard limit 1 s. */
+    Desk(Group group, boolean secondCopies, int maxHops) {
+        List<Profile> profiles = new ArrayList<>();
+        for (Repeat repeat : Repeat.values()) {
+            profiles.add(new Profile(5_000, 10_000, 1 + repeat.ordinal(), repeat, group, 20_000));
+        }
+        balance = new Balance(new Terms(profiles, List.of(), 4, 0, maxHops, secondCopies, true, true, 10_000,
+                true, 100_000, true, false, 0, 0.2, 200_000, 3, 10_000), 7, this);
+        balance.start(now);
+    }
+
+    Desk() {
+        this(Group.CELL, true, 3);
+    }
+
+    /** Servers in two zones and five cells of two, all in the state and with the start given. */
+    Desk fleet(State state, long launched) {
+        for (int i = 0; i < 10; i++) {
+            list(100 + i, state, launched);
+        }
+        return this;
+    }
+
+    void list(long id, State state, long launched) {
+        balance.listed(now, List.of(new Listed(id, (int) id % 2, 0, (int) (id - 100) / 2, state, 1, launched)),
+                false, false);
+    }
+
+    long arrive(int profile) {
+        balance.arrived(now, nextTx, profile, 0, 0, 10_000, 0);
+        return nextTx++;
+    }
+
+    Sent last() {
+        return sent.get(sent.size() - 1);
+    }
+
+    void end(Sent hop, Outcome outcome, long took) {
+        balance.hopEnded(now, hop.tx(), hop.hop(), outcome, took, outcome == Outcome.COMMITTED);
+    }
+
+    void pass(long span) {
+        for (long end = now + span; now < end; ) {
+            now += 100;
+            balance.woken(now);
+        }
+    }
+
+    /**
+     * Sends steady idempotent traffic, one every 2 ms; a server takes 20 ms, the odd one what {@code oddTook}
+     * says with {@code oddOutcome}, or never answers if that is null. Returns how many hops the odd one got.
+     */
+    int traffic(long span, long odd, Outcome oddOutcome, long oddTook) {
+        int first = sent.size();
+        for (long end = now + span; now < end; ) {
+            now += 20;
+            if (now % 100 == 0) {
+                balance.woken(now);
+            }
+            int before = sent.size();
+            arrive(0);
+            for (int i = before; i < sent.size(); i++) {
+                boolean isOdd = sent.get(i).server() == odd;
+                if (!isOdd || oddOutcome != null) {
+                    due.put(sent.get(i), now + (isOdd ? oddTook : 200));
+                    out.add(sent.get(i));
+                }
+            }
+            for (Sent each : List.copyOf(out)) {
+                if (due.get(each) <= now) {
+                    out.remove(each);
+                    boolean isOdd = each.server() == odd;
+                    end(each, isOdd ? oddOutcome : Outcome.COMMITTED, isOdd ? oddTook : 200);
+                }
+            }
+        }
+        return (int) sent.stream().skip(first).filter(s -> s.server() == odd).count();
+    }
+
+    @Override
+    public void send(long tx, long endpoint, long timeout) {
+        sent.add(new Sent(tx, endpoint, timeout, hops.merge(tx, 1, Integer::sum) - 1));
+    }
+
+    @Override
+    public void callOff(long tx, int hop) {
+        calledOff.add(tx);
+    }
+
+    @Override
+    public void rollBack(long tx, long pause) {
+        answers.add("rolled back " + tx);
+    }
+
+    @Override
+    public void abandon(long tx) {
+        answers.add("abandoned " + tx);
+    }
+
+    @Override
+    public void wake(long span) { }
+
+    @Override
+    public void subscribe() {
+        subscriptions++;
+    }
+}
--- /dev/null
+++ b/src/test/java/trestlegrade/GradesTest.java
@@ -0,0 +1,149 @@
+package trestlegrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import trestlegrade.Listed.State;
+
+/** The drop rate, the ring, and what leaves it early. */
+class GradesTest {
+
+    /** The odd server's drop rate after a while of such hops. */
+    @ParameterizedTest
+    @CsvSource({
+        "COMMITTED, 200, 5, 0,    0",
+        "COMMITTED, 800, 5, 0.15, 0.3",
+        "COMMITTED, 240, 5, 0,    0",
+        "COMMITTED, 800, 40, 0.9, 1",
+    })
+    void dropRate(Outcome outcome, long took, int seconds, double least, double most) {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        int hops = desk.traffic(seconds * 10_000L, 103, outcome, took);
+        double drop = desk.balance.server(103).drop;
+        assertTrue(drop >= least && drop <= most, "drop rate " + drop);
+        assertTrue(hops > 0);
+    }
+
+    /** Moves at most a quarter in 5 s, comes back as it went, and leaves the floor of one point. */
+    @Test
+    void upAndDown() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(50_000, 103, Outcome.COMMITTED, 800);
+        assertTrue(desk.balance.server(103).drop <= 0.25 + 1e-9);
+        desk.traffic(300_000, 103, Outcome.COMMITTED, 800);
+        assertEquals(1, desk.balance.server(103).drop);
+        assertTrue(desk.traffic(100_000, 103, Outcome.COMMITTED, 800) > 0, "the floor still gets hops");
+        desk.pass(110_000);
+        assertEquals(0.5, desk.balance.server(103).drop, 0.3, "few calls ease down");
+        desk.pass(150_000);
+        assertEquals(0, desk.balance.server(103).drop);
+    }
+
+    /** Everything slow at once grades nobody down. */
+    @Test
+    void allSlow() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(30_000, -1, null, 0);
+        for (int i = 0; i < 300; i++) {
+            desk.arrive(0);
+            Desk.Sent hop = desk.last();
+            desk.pass(1_000);
+            desk.end(hop, Outcome.COMMITTED, 1_000);
+        }
+        for (long id = 100; id < 110; id++) {
+            assertTrue(desk.balance.server(id).drop < 0.3);
+            assertFalse(desk.balance.server(id).shut);
+        }
+    }
+
+    /** Shares follow points: an even fleet gets even shares, a half-weight server half of one. */
+    @ParameterizedTest
+    @CsvSource({"1, 0.1", "0.5, 0.0526", "2, 0.1818"})
+    void shares(double weight, double share) {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.balance.listed(desk.now, java.util.List.of(new Listed(103, 0, 0, 1, State.READY, weight, 0)),
+                false, false);
+        int hops = desk.traffic(100_000, 103, Outcome.COMMITTED, 200);
+        assertEquals(share, hops / (double) desk.sent.size(), 0.015);
+    }
+
+    /** A server that falls silent, fails at once or takes no connection is left early and taken back after. */
+    @ParameterizedTest
+    @CsvSource({", 0, 60", "ERROR, 20, 60", "BROKEN, 20, 60", "NO_CONNECTION, 1200, 60"})
+    void leftEarly(Outcome outcome, long took, int most) {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(20_000, -1, null, 0);
+        int hops = desk.traffic(50_000, 103, outcome, took);
+        assertTrue(desk.balance.server(103).shut);
+        assertTrue(hops <= most, "still got " + hops + " of about 2500 hops");
+        for (Desk.Sent each : java.util.List.copyOf(desk.sent)) {
+            if (each.server() == 103) {
+                desk.end(each, Outcome.CALLED_OFF, 1);
+            }
+        }
+        desk.traffic(100_000, 103, Outcome.COMMITTED, 200);
+        assertFalse(desk.balance.server(103).shut);
+        int back = desk.traffic(20_000, 103, Outcome.COMMITTED, 200);
+        assertTrue(back > 50, "only " + back + " of about 100 hops");
+    }
+
+    /** Losing most of the fleet to silence leaves a third of it in use. */
+    @Test
+    void notAllAreShutOut() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        for (int i = 0; i < 400; i++) {
+            desk.arrive(0);
+            desk.pass(100);
+        }
+        long shut = 0;
+        for (long id = 100; id < 110; id++) {
+            shut += desk.balance.server(id).shut ? 1 : 0;
+        }
+        assertTrue(shut > 0 && shut <= 6, shut + " shut out");
+    }
+
+    /** Incident i9f667e: a server that refuses a connection still gets as many hops at once as it had. */
+    @Test
+    void roofAfterARefusedConnection() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(20_000, -1, null, 0);
+        Server server = desk.balance.server(103);
+        do {
+            desk.arrive(0);
+        } while (server.out < 2 || desk.last().server() != 103);
+        int most = 0;
+        int roof = server.out - 1;
+        desk.end(desk.last(), Outcome.NO_CONNECTION, 1_200);
+        for (int i = 0; i < 100; i++) {
+            desk.arrive(0);
+            most = Math.max(most, server.out);
+        }
+        assertEquals(roof, most);
+    }
+
+    /** A jam (everything takes far longer than it can) ends arrivals early, and the end of it lets them in. */
+    @Test
+    void earlyRollback() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(30_000, -1, null, 0);
+        assertEquals(0, desk.answers.size());
+        for (int i = 0; i < 3_000; i++) {
+            desk.arrive(0);
+            if (i % 20 == 0) {
+                desk.pass(100);
+            }
+        }
+        assertTrue(desk.answers.size() > 1_000, "rolled back " + desk.answers.size());
+        for (Desk.Sent each : java.util.List.copyOf(desk.sent)) {
+            desk.end(each, Outcome.COMMITTED, 4_000);
+        }
+        desk.traffic(100_000, -1, null, 0);
+        int before = desk.answers.size();
+        desk.traffic(30_000, -1, null, 0);
+        assertEquals(before, desk.answers.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -0,0 +1,207 @@
+package trestlegrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import trestlegrade.Listed.State;
+import trestlegrade.Terms.Group;
+
+/** The four rules. */
+class RulesTest {
+
+    /** After one hop has ended so: sent again anywhere, within the group, or ended how. */
+    @ParameterizedTest
+    @CsvSource({
+        "0, CELL, ERROR,         again",
+        "0, CELL, NO_CONNECTION, again",
+        "0, CELL, TURNED_AWAY,   again",
+        "0, CELL, BROKEN,        again",
+        "1, CELL, ERROR,         group",
+        "1, ZONE, BROKEN,        group",
+        "1, ALL,  BROKEN,        again",
+        "1, CELL, NO_CONNECTION, again",
+        "2, CELL, ERROR,         abandoned",
+        "2, ALL,  BROKEN,        abandoned",
+        "2, CELL, TIMED_OUT,     abandoned",
+        "2, CELL, CALLED_OFF,    abandoned",
+        "2, CELL, NO_CONNECTION, again",
+        "2, CELL, NOT_SENT,      again",
+    })
+    void repeats(int profile, Group group, Outcome outcome, String expected) {
+        for (int round = 0; round < 20; round++) {
+            Desk desk = new Desk(group, true, 3).fleet(State.READY, 0);
+            long tx = desk.arrive(profile);
+            Desk.Sent first = desk.last();
+            desk.now += 100;
+            desk.end(first, outcome, 100);
+            if (expected.equals("abandoned")) {
+                assertEquals(List.of("abandoned " + tx), desk.answers);
+                assertEquals(1, desk.sent.size());
+                continue;
+            }
+            assertEquals(2, desk.sent.size());
+            assertEquals(List.of(), desk.answers);
+            if (expected.equals("group")) {
+                assertTrue(group == Group.CELL ? (first.server() - 100) / 2 == (desk.last().server() - 100) / 2
+                        : first.server() % 2 == desk.last().server() % 2);
+            }
+        }
+    }
+
+    /** A journalled transaction that may have run is neither resent past its window nor rolled back. */
+    @Test
+    void windowCountsFromTheFirstHopThatMayHaveRun() {
+        Desk desk = new Desk(Group.CELL, true, 3).fleet(State.READY, 0);
+        desk.balance.arrived(desk.now, 9, 1, 0, 0, 100_000, 0);
+        desk.now += 19_500;
+        desk.end(desk.last(), Outcome.BROKEN, 19_500);
+        assertEquals(1, desk.sent.size());
+        assertEquals(List.of("abandoned 9"), desk.answers);
+    }
+
+    /** Second copies go out only where they are permitted, and never of a non-idempotent transaction. */
+    @ParameterizedTest
+    @CsvSource({"0, true, 2", "0, false, 1", "1, true, 2", "1, false, 1", "2, true, 1", "2, false, 1"})
+    void secondCopies(int profile, boolean permitted, int hops) {
+        Desk desk = new Desk(Group.ALL, permitted, 3).fleet(State.READY, 0);
+        desk.arrive(profile);
+        desk.pass(6_000);
+        assertEquals(hops, desk.sent.size());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "2, TIMED_OUT,     abandoned",
+        "0, TIMED_OUT,     rolled back",
+        "1, TIMED_OUT,     abandoned",
+        "2, ,              abandoned",
+        "0, ,              rolled back",
+    })
+    void oneFinalAnswerAtTheEnd(int profile, Outcome outcome, String expected) {
+        Desk desk = new Desk(Group.CELL, false, 1).fleet(State.READY, 0);
+        long tx = desk.arrive(profile);
+        Desk.Sent hop = desk.last();
+        if (outcome != null) {
+            desk.now += 10_000;
+            desk.end(hop, outcome, 10_000);
+        }
+        desk.pass(10_200);
+        assertEquals(List.of(expected + " " + tx), desk.answers);
+        desk.end(hop, Outcome.BROKEN, 10_300);
+        desk.balance.clientLeft(desk.now, tx);
+        desk.pass(20_000);
+        assertEquals(1, desk.sent.size());
+        assertEquals(1, desk.answers.size());
+    }
+
+    @Test
+    void noAnswerIsOwedOnceTheClientHasLeftOrHasIts() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        long left = desk.arrive(0);
+        desk.balance.clientLeft(desk.now, left);
+        desk.end(desk.last(), Outcome.ERROR, 100);
+        desk.arrive(2);
+        desk.end(desk.last(), Outcome.COMMITTED, 100);
+        desk.balance.clientLeft(desk.now, 12345);
+        desk.pass(20_000);
+        assertEquals(2, desk.sent.size());
+        assertEquals(List.of(), desk.answers);
+        assertEquals(List.of(left), desk.calledOff);
+    }
+
+    /** With no server a transaction waits a little for one and is then rolled back, not kept to its end. */
+    @ParameterizedTest
+    @ValueSource(strings = {"none", "draining", "later"})
+    void noUsableServer(String list) {
+        Desk desk = new Desk();
+        if (list.equals("draining")) {
+            desk.fleet(State.DRAINING, 0);
+        }
+        long tx = desk.arrive(2);
+        desk.pass(500);
+        if (list.equals("later")) {
+            desk.fleet(State.READY, 0);
+            assertEquals(1, desk.sent.size());
+            return;
+        }
+        desk.pass(1_500);
+        assertEquals(List.of(), desk.sent);
+        assertEquals(List.of("rolled back " + tx), desk.answers);
+    }
+
+    /** Nothing new from the moment the sidecar is told, further hops included. */
+    @ParameterizedTest
+    @ValueSource(strings = {"draining", "gone", "missing"})
+    void drains(String how) {
+        Desk desk = new Desk(Group.ALL, true, 3).fleet(State.READY, 0);
+        desk.arrive(1);
+        if (how.equals("missing")) {
+            desk.balance.listed(desk.now, List.of(new Listed(105, 1, 0, 2, State.READY, 1, 0)), true, false);
+        } else {
+            for (long id = 100; id < 110; id++) {
+                if (id != 105) {
+                    desk.list(id, how.equals("gone") ? State.GONE : State.DRAINING, 0);
+                }
+            }
+        }
+        int before = desk.sent.size();
+        desk.end(desk.sent.get(0), Outcome.NO_CONNECTION, 100);
+        for (int i = 0; i < 100; i++) {
+            desk.arrive(0);
+        }
+        desk.pass(3_000);
+        assertTrue(desk.sent.size() > before);
+        assertTrue(desk.sent.stream().skip(before).allMatch(s -> s.server() == 105));
+    }
+
+    /** A failed call for the list is made again, later each time and never too late. */
+    @Test
+    void listIsAskedForAgain() {
+        Desk desk = new Desk();
+        assertEquals(1, desk.subscriptions);
+        for (int i = 0; i < 10; i++) {
+            desk.balance.listFailed(desk.now);
+            desk.pass(100_000 / 4);
+            assertEquals(2 + i, desk.subscriptions);
+        }
+    }
+
+    /**
+     * A cold server among warm ones, under a burst of ten times the usual: in no span of the rule's length does
+     * it get more than this sidecar's part of what the rule allows. Warm ones were carrying 50 hops/s each.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void coldServerIsNotPushed(boolean restarted) {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(100_000, -1, null, 0);
+        long id = restarted ? 104 : 200;
+        desk.list(id, State.READY, desk.now);
+        long start = desk.now;
+        int before = desk.sent.size();
+        for (int i = 0; i < 100; i++) {
+            for (int j = 0; j < 50; j++) {
+                desk.arrive(0);
+            }
+            desk.pass(100);
+        }
+        long cold = desk.sent.stream().skip(before).filter(s -> s.server() == id).count();
+        assertEquals(start + 10_000, desk.now);
+        assertTrue(cold >= 1 && cold <= 3 * 0.25 * 50, "sent " + cold);
+    }
+
+    @Test
+    void aWholeFleetStartingColdStillServes() {
+        Desk desk = new Desk();
+        desk.fleet(State.READY, desk.now);
+        desk.pass(20_000);
+        desk.traffic(10_000, -1, null, 0);
+        assertFalse(desk.sent.isEmpty());
+    }
+}
