--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -643,7 +643,7 @@
 
     // Half of what the rule allows if every sidecar does the same: costs are guessed, and what like servers carry
     // is at most their capacity.
-    private static final double COLD_MARGIN = 0.5;
+    private static final double COLD_MARGIN = 0.65;
     private static final long CARRIED_SPAN = 100_000;
     /** Work committed by warm servers, for each unit of their weight at that time. */
     private final Buckets carried = new Buckets(CARRIED_SPAN, 10);
