Cold budget grows with what a cold server proved to commit

Cause: pricing servers warm by work done, and a budget from the slowest possible warming kept them cold. What all sidecars saw it commit is at most its capacity, so 0.65 of the rule's multiple of that stays inside.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -626,11 +626,13 @@
         if (warmth >= 1) {
             return true;
         }
-        if (strict > 2 && chance.next() > warmth) {
+        double usualWork = Math.max(1e-9, server.weight * terms.fallSpan() * carried.total(now) / CARRIED_SPAN);
+        double proven = server.committed.total(now);
+        double able = Math.max(warmth * usualWork, proven);
+        double budget = COLD_MARGIN * terms.fallMultiple() * able;
+        if (strict > 2 && chance.next() > Math.max(warmth, 2 * proven / usualWork)) {
             return false;
         }
-        double budget = COLD_MARGIN * terms.fallMultiple() * warmth * server.weight * terms.fallSpan()
-                * carried.total(now) / CARRIED_SPAN;
         // However little is known, a hop now and then: at most one core's cold share if every sidecar does the same.
         long apart = (long) (terms.sidecars() * bare / (terms.coldFrom() * terms.fallMultiple()));
         return server.sentLately.total(now) + cost(tx) <= budget || now - server.lastSent > Math.max(apart, terms.fallSpan());
@@ -641,8 +643,8 @@
         return tx.cost > 0 ? tx.cost : 1_000 * usual[tx.profile] / usualAll;
     }
 
-    // Half of what the rule allows if every sidecar does the same: costs are guessed, and what like servers carry
-    // is at most their capacity.
+    // Two thirds of what the rule allows if every sidecar does the same, for costs are guessed. What like servers
+    // carry, and what it was itself seen to commit, is at most the capacity.
     private static final double COLD_MARGIN = 0.65;
     private static final long CARRIED_SPAN = 100_000;
     /** Work committed by warm servers, for each unit of their weight at that time. */
@@ -695,6 +697,7 @@
         }
         if (!failed) {
             server.failedInRow = 0;
+            server.committed.add(now, cost(tx));
             if (warmth(now, server) >= 1 && steadyWeight > 0) {
                 carried.add(now, cost(tx) / steadyWeight);
             }
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -21,6 +21,7 @@
     final Buckets lateCalls = new Buckets(20_000, 4);
     final Buckets lateFailures = new Buckets(20_000, 4);
     final Buckets sentLately;
+    final Buckets committed;
     double drop;
     double pace;
     long lastAnswer;
@@ -41,6 +42,7 @@
         this.index = index;
         // An eighth more than the span, so that the buckets always cover it.
         sentLately = new Buckets(coldSpan + coldSpan / 8, 9);
+        committed = new Buckets(coldSpan, 8);
     }
 
     /** Forgets what was measured of an earlier life. */
@@ -52,7 +54,7 @@
         failedInRow = 0;
         roofUntil = 0;
         lastAnswer = now;
-        for (Buckets each : new Buckets[] {calls, failures, answers, slowness, lateCalls, lateFailures}) {
+        for (Buckets each : new Buckets[] {calls, failures, answers, slowness, lateCalls, lateFailures, committed}) {
             each.clear();
         }
     }
