--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -692,8 +692,9 @@
             server.failedInRow++;
         }
         if (outcome == Outcome.NO_CONNECTION) {
+            server.roofFor = now > server.roofUntil + server.roofFor ? FIRST_ROOF : Math.min(LAST_ROOF, 2 * server.roofFor);
             server.roof = Math.max(1, server.out);
-            server.roofUntil = now + ROOF_FOR;
+            server.roofUntil = now + server.roofFor;
         }
         if (!failed) {
             server.failedInRow = 0;
@@ -724,9 +725,10 @@
         }
     }
 
-    // A server that takes no further connection may still serve on those it has (incident i9f667e): for this long
-    // no more hops are out to it at once than then; about as long as shutting out lasts between its trials.
-    private static final long ROOF_FOR = 20_000;
+    // A server that takes no further connection may still serve on those it has (incident i9f667e): no more hops are
+    // out to it at once than then, for 2 s, and for twice as long each time it refuses again soon after.
+    private static final long FIRST_ROOF = 20_000;
+    private static final long LAST_ROOF = 160_000;
 
     /** The design's step, five times smaller and five times as often: 0.2 in 5 s at the most. */
     private void grade(long now) {
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -31,6 +31,7 @@
     // No more hops at once than the roof, and none but trials while shut out.
     int roof;
     long roofUntil;
+    long roofFor;
     boolean shut;
     long tryAt;
     long patience;
