--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -563,7 +563,7 @@
                 if (server == cold || ringOrdinal[point] >= livePoints(server)
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
-                                || server.out >= PREFER * mean * server.weight + 1)
+                                || server.drop > 0 || server.out >= PREFER * mean * server.weight + 1)
                         || strict > 2 && trusted && server.failedInRow > 0
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
@@ -833,7 +833,7 @@
     private static final double FAILING_SHARE = 0.4;
     private static final int FAILING_TRIALS = 3;
     private static final long FIRST_TRIAL = 5_000;
-    private static final long LAST_TRIAL = 40_000;
+    private static final long LAST_TRIAL = 80_000;
 
     /** Leaves a server at once, unless that would leave less than a third of the listed weight. */
     private void shut(long now, Server server, int trials) {
