--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -563,7 +563,7 @@
                 if (server == cold || ringOrdinal[point] >= livePoints(server)
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
-                                || server.drop > 0 || server.out >= PREFER * mean * server.weight + 1)
+                                || server.drop > MUCH_DOWN || server.out >= PREFER * mean * server.weight + 1)
                         || strict > 2 && trusted && server.failedInRow > 0
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
@@ -583,6 +583,7 @@
     // Preferences hold only while the server has at most a quarter more than its part of what is in flight.
     // When half of the wait that a transaction may have is used up, every pick keeps to that bound.
     private static final double PREFER = 1.25;
+    private static final double MUCH_DOWN = 0.5;
     private static final double CROWDED = 0.15;
 
     /** Warm and not shut out: what the wait and the mean in flight are measured on. */
