--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -582,7 +582,7 @@
 
     // Preferences hold only while the server has at most a quarter more than its part of what is in flight.
     // When half of the wait that a transaction may have is used up, every pick keeps to that bound.
-    private static final double PREFER = 1.25;
+    private static final double PREFER = 1;
     private static final double MUCH_DOWN = 0.5;
     private static final double CROWDED = 0.15;
 
