--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -563,7 +563,7 @@
                 if (server == cold || ringOrdinal[point] >= livePoints(server)
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
-                                || server.drop > MUCH_DOWN || server.out >= PREFER * mean * server.weight + 1)
+                                || server.drop > MUCH_DOWN || server.out >= PREFER * mean * server.weight + 0.5)
                         || strict > 2 && trusted && server.failedInRow > 0
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
