--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -361,7 +361,7 @@
     }
 
     // A healthy hop with exponential times lasts three means once in twenty: the budget of second copies.
-    private static final double OVERDUE = 3;
+    private static final double OVERDUE = 4;
 
     // ------------------------------------------------------------------ early rollback
 
