--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -349,7 +349,7 @@
         Hop last = tx.hops.get(tx.hops.size() - 1);
         long age = now - last.sent;
         boolean lost = last.server.shut && age > last.expected;
-        boolean slow = age > OVERDUE * last.expected && copyTokens >= 1;
+        boolean slow = age > OVERDUE * last.expected && copyTokens >= 1 && crowding < CROWDED;
         if ((lost || slow) && hopTokens >= 1 && tx.end - now > expected(tx)) {
             Server server = pick(now, tx);
             if (server != null) {
