--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -806,6 +806,8 @@
         }
         double ages = 0;
         openOut = 0;
+        // What was usual when a hop was sent says little once all has become slow.
+        double latest = commitTook.total(now) / Math.max(1, commits.total(now));
         for (Tx tx : open) {
             for (Hop hop : tx.hops) {
                 if (hop.outcome == null && !tx.streaming) {
@@ -815,7 +817,7 @@
                         openOut++;
                     }
                     long unheard = now - Math.max(hop.sent, server.lastAnswer);
-                    server.silence += unheard / (hop.expected * Math.max(1, server.pace));
+                    server.silence += unheard / Math.max(hop.expected * Math.max(1, server.pace), latest);
                 }
             }
         }
