--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -564,7 +564,7 @@
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
                                 || server.drop > MUCH_DOWN || server.out >= PREFER * mean * server.weight + 0.5)
-                        || strict > 2 && trusted && server.failedInRow > 0
+                        || strict > 2 && (trusted && server.failedInRow > 0 || server.silence > SUSPECT)
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
                         || !maySend(now, tx, server) || tx.tried(server) && strict > 0) {
@@ -586,9 +586,9 @@
     private static final double MUCH_DOWN = 0.5;
     private static final double CROWDED = 0.15;
 
-    /** Warm and not shut out: what the wait and the mean in flight are measured on. */
+    /** Warm, heard of and not shut out: what the wait and the mean in flight are measured on. */
     private boolean steady(long now, Server server) {
-        return !server.shut && warmth(now, server) >= 1;
+        return !server.shut && server.silence < SUSPECT && warmth(now, server) >= 1;
     }
 
     /** Points left by the drop rate, over the design's floor of one. */
@@ -799,36 +799,43 @@
 
     /** Every beat: how unlikely each server's silence is, from the hops out to it since its last answer. */
     private void listen(long now) {
-        steadyWeight = 0;
         for (Server server : servers) {
             server.silence = 0;
-            steadyWeight += server.ready && steady(now, server) ? server.weight : 0;
+            server.ages = 0;
+            server.heardOf = 0;
         }
-        double ages = 0;
-        openOut = 0;
         // What was usual when a hop was sent says little once all has become slow.
         double latest = commitTook.total(now) / Math.max(1, commits.total(now));
         for (Tx tx : open) {
             for (Hop hop : tx.hops) {
                 if (hop.outcome == null && !tx.streaming) {
                     Server server = hop.server;
-                    if (steady(now, server)) {
-                        ages += now - hop.sent;
-                        openOut++;
-                    }
                     long unheard = now - Math.max(hop.sent, server.lastAnswer);
                     server.silence += unheard / Math.max(hop.expected * Math.max(1, server.pace), latest);
+                    server.ages += now - hop.sent;
+                    server.heardOf++;
                 }
             }
         }
-        meanAge = openOut == 0 ? 0 : ages / openOut;
+        steadyWeight = 0;
+        openOut = 0;
+        double ages = 0;
         for (Server server : servers) {
             if (!server.shut && server.silence > SILENCE) {
                 shut(now, server, 1);
             }
+            if (steady(now, server)) {
+                steadyWeight += server.ready ? server.weight : 0;
+                openOut += server.heardOf;
+                ages += server.ages;
+            }
         }
+        meanAge = openOut == 0 ? 0 : ages / openOut;
     }
 
+    // From this on, one look in twenty at a healthy server, its hops tell of it and no more of all servers' wait:
+    // a few stuck hops made sidecars with little traffic drop calls (incident ic8467a).
+    private static final double SUSPECT = 3;
     // A healthy server with exponential times is silent this long once in e^9, about eight thousand, looks.
     private static final double SILENCE = 9;
     // Three failures within two seconds, and two in five of its calls: far over any usual error rate.
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -27,6 +27,8 @@
     long lastAnswer;
     int failedInRow;
     double silence;
+    long ages;
+    int heardOf;
 
     // No more hops at once than the roof, and none but trials while shut out.
     int roof;
