--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -564,7 +564,7 @@
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
                                 || server.drop > MUCH_DOWN || server.out >= PREFER * mean * server.weight + 0.5)
-                        || strict > 2 && (trusted && server.failedInRow > 0 || server.silence > SUSPECT)
+                        || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
                         || !maySend(now, tx, server) || tx.tried(server) && strict > 0) {
