--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -10,12 +10,12 @@
 /**
  * All decisions of one sidecar: where each transaction's hops go, and when it is given up.
  *
- * <p>Called through the public methods below, with times in tenths of a millisecond; what it decides it asks of
- * its {@link Outlet}. Settings come as {@link Terms}, the list of endpoints as {@link Listed} rows, ends of hops
- * as {@link Outcome}. One instance serves one sidecar and is not thread-safe.
+ * <p>Called through the public methods below, with times in tenths of a millisecond; what it decides it
+ * asks of its {@link Outlet}. Settings come as {@link Terms}, the list of endpoints as {@link Listed} rows,
+ * ends of hops as {@link Outcome}. One instance serves one sidecar and is not thread-safe.
  *
- * <p>The design: each server has a call tracker and a drop rate; the drop rate shrinks its points on a ring; a
- * pick takes a random ring position and the next point (docs/design.md). Beside the design stand:
+ * <p>The design: each server has a call tracker and a drop rate; the drop rate shrinks its points on a
+ * ring; a pick takes a random ring position and the next point (docs/design.md). Beside the design stand:
  * <ol>
  * <li>cold budget: a server that has just started gets a bounded amount of work (rule 4);
  * <li>shutting out: a server that falls silent or fails in a row is left at once and tried again with care;
@@ -27,7 +27,7 @@
  */
 public final class Balance {
 
-    // ------------------------------------------------------------------ what is known of servers and transactions
+    // -------------------------------------------------- what is known of servers and transactions
 
     private final Terms terms;
     private final Outlet outlet;
@@ -68,7 +68,7 @@
         rankRevenue();
     }
 
-    // ------------------------------------------------------------------ how it is called
+    // -------------------------------------------------- how it is called
 
     public void start(long now) {
         outlet.wake(BEAT);
@@ -114,14 +114,15 @@
 
     /** A call for the list failed, or the subscription dropped. */
     public void listFailed(long now) {
-        // Back-off doubles from 100 ms to an eighth of the time within which it must have been asked; the spread
-        // keeps sidecars that failed together from asking together.
+        // Back-off doubles from 100 ms to an eighth of the time within which it must have been asked; the
+        // spread keeps sidecars that failed together from asking together.
         long wait = Math.min(1_000L << Math.min(listFailures++, 6), terms.askWithin() / 8);
         askListAt = now + wait / 2 + (long) (wait * chance.next());
     }
 
     public void arrived(long now, long id, int profile, int customer, long key, long patience, long cost) {
-        Tx tx = new Tx(id, profile, customer < customerArrivals.length ? customer : 0, key, now, now + patience, cost);
+        int known = customer >= 0 && customer < customerArrivals.length ? customer : 0;
+        Tx tx = new Tx(id, profile, known, key, now, now + patience, cost);
         txById.put(id, tx);
         open.add(tx);
         arrivals.add(now, 1);
@@ -192,13 +193,15 @@
     private long askListAt;
     private int listFailures;
 
-    // ------------------------------------------------------------------ the chain
+    // -------------------------------------------------- the chain
 
     private static final int ON = 0;
     private static final int KEPT = 1;
     private static final int ENDED = 2;
 
-    /** One stage of the chain every transaction passes, for each hop anew; ends of hops come back through it. */
+    /**
+     * One stage of the chain every transaction passes, for each hop anew; ends of hops come back through it.
+     */
     private interface Stage {
         int pass(long now, Tx tx);
 
@@ -221,7 +224,7 @@
         }
     }
 
-    // ------------------------------------------------------------------ rules 1 and 2: what may still be done
+    // -------------------------------------------------- rules 1 and 2: what may still be done
 
     /** Rule 2. Whether the transaction may be sent (again) to this server. */
     private boolean maySend(long now, Tx tx, Server server) {
@@ -287,7 +290,8 @@
             }
             boolean further = !tx.hops.isEmpty();
             // A further hop only if the time left exceeds the time it is expected to take.
-            if (now >= tx.end || further && tx.end - now <= expected(tx) || further && costly(tx) && hopTokens < 1) {
+            boolean spared = further && (tx.end - now <= expected(tx) || costly(tx) && hopTokens < 1);
+            if (now >= tx.end || spared) {
                 if (tx.out == 0) {
                     giveUp(tx, 0);
                 }
@@ -315,11 +319,13 @@
         return false;
     }
 
-    // Further hops: one for every five arrivals, as the design's step; twenty saved up bridge the loss of a server.
+    // Further hops: one for every five arrivals, as the design's step; twenty saved up bridge the loss of a
+    // server.
     private static final double FURTHER_SHARE = 0.2;
     private static final double HOP_TOKENS = 20;
     private double hopTokens = HOP_TOKENS;
-    // Second copies of hops that are merely slow: one for every twenty arrivals, so that they feed no overload.
+    // Second copies of hops that are merely slow: one for every twenty arrivals, so that they feed no
+    // overload.
     private static final double COPY_SHARE = 0.05;
     private static final double COPY_TOKENS = 5;
     private double copyTokens = COPY_TOKENS;
@@ -360,10 +366,11 @@
         }
     }
 
-    // A healthy hop with exponential times lasts three means once in twenty: the budget of second copies.
+    // A healthy hop with exponential times lasts four means once in fifty, well inside the budget of copies.
+    // In a crowd every hop is overdue: copies would feed the jam (incident i9f667e), so then there are none.
     private static final double OVERDUE = 4;
 
-    // ------------------------------------------------------------------ early rollback
+    // -------------------------------------------------- early rollback
 
     /** Ends transactions at the door when the wait already spoils the service goal (call dropping in D2). */
     private final class Early implements Stage {
@@ -397,8 +404,8 @@
         double committed = commits.total(now);
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(COMMIT_SPAN, now - firstSent));
-        // Few hops make Little's figure jump; the ages of hops still out and the times of those that just ended
-        // temper it. Before the first answers the ages alone tell.
+        // Few hops make Little's figure jump; the ages of hops still out and the times of those that just
+        // ended temper it. Before the first answers the ages alone tell.
         double wait = committed < 10 ? meanAge
                 : Math.min(openOut / rate, Math.max(meanAge, commitTook.total(now) / committed));
         crowding = wait / usualGoal;
@@ -414,7 +421,8 @@
                 > 1.1 * terms.customers().get(tx.customer).share() * arrivals.total(now);
     }
 
-    // Per beat: a wait of twice what is permitted drops all calls after a fifth of a second, about one hop's time.
+    // Per beat: a wait of twice what is permitted drops all calls after a fifth of a second, about one hop's
+    // time.
     private static final double DROP_STEP = 0.05;
     private final double[] callDrop;
     private double crowding;
@@ -428,7 +436,9 @@
     private int openOut;
     private double[] rank;
 
-    /** The share of the service goal that the wait may take, from 0.6 for the least revenue to 1 for the most. */
+    // The share of the mean service goal that the wait may take, for the least and the most revenue: with
+    // exponential times a mean of 0.4 lets one in twelve miss the goal, of 0.2 one in 150; beyond it servers
+    // jam.
     private void rankRevenue() {
         int n = terms.profiles().size();
         rank = new double[n];
@@ -438,7 +448,7 @@
         }
     }
 
-    // ------------------------------------------------------------------ choosing: the ring and what is passed over
+    // -------------------------------------------------- choosing: the ring and what is passed over
 
     /** Last stage: picks a server and sends, or keeps the transaction while no server may take it. */
     private final class Choose implements Stage {
@@ -510,7 +520,8 @@
         double mean = readyWeight / Math.max(1, ready.size());
         List<long[]> ring = new ArrayList<>();
         for (Server server : ready) {
-            server.points = (int) Math.max(1, Math.min(4 * POINTS, Math.round(POINTS * server.weight / mean)));
+            double points = Math.min(MOST_POINTS, POINTS * server.weight / mean);
+            server.points = (int) Math.max(1, Math.round(points));
             for (int ordinal = 0; ordinal < server.points; ordinal++) {
                 ring.add(new long[] {chance.position(server.id, ordinal), server.index, ordinal});
             }
@@ -529,8 +540,12 @@
 
     // The design's points for a healthy server of mean weight.
     private static final int POINTS = 100;
+    // However odd the weights, the ring stays small.
+    private static final int MOST_POINTS = 400;
 
-    /** A pick: a ring position and the next point that is not passed over; null when no server may take it. */
+    /**
+     * A pick: a ring position and the next point that is not passed over; null when no server may take it.
+     */
     private Server pick(long now, Tx tx) {
         int n = ringAt.length;
         if (n == 0) {
@@ -547,7 +562,8 @@
             keyed = true;
         }
         double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
-        // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
+        // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always
+        // hold.
         for (int strict = 4; strict >= 0; strict--) {
             Server cold = null;
             if (strict == 4 && !atHome && !keyed && crowding < CROWDED) {
@@ -563,7 +579,7 @@
                 if (server == cold || ringOrdinal[point] >= livePoints(server)
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
-                                || server.drop > MUCH_DOWN || server.out >= PREFER * mean * server.weight + 0.5)
+                                || server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5)
                         || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
@@ -580,9 +596,10 @@
         return null;
     }
 
-    // Preferences hold only while the server has at most a quarter more than its part of what is in flight.
-    // When half of the wait that a transaction may have is used up, every pick keeps to that bound.
-    private static final double PREFER = 1;
+    // Preferences hold only while the server has no more than its even part of what is in flight, for hot
+    // keys and the own location crowd servers else, and not once it has been graded down by half. Once the
+    // wait nears what is permitted at the least (0.15 of 0.2 of the service goal), every pick keeps to that
+    // part.
     private static final double MUCH_DOWN = 0.5;
     private static final double CROWDED = 0.15;
 
@@ -610,7 +627,7 @@
     private final long[] seenKey = new long[4096];
     private final long[] seenAt = new long[4096];
 
-    // ------------------------------------------------------------------ rule 4: the cold budget
+    // -------------------------------------------------- rule 4: the cold budget
 
     /** A server's share of its full capacity, at the least; 1 once it is warm. */
     private double warmth(long now, Server server) {
@@ -621,22 +638,28 @@
         return terms.coldFrom() + (1 - terms.coldFrom()) * Math.max(0, age) / terms.coldFor();
     }
 
-    /** Whether a server that may be cold can take this transaction: by chance as it warms, and within its budget. */
+    /**
+     * Whether a server that may be cold can take this transaction: by chance as it warms, and within its
+     * budget.
+     */
     private boolean mayTakeCold(long now, Tx tx, Server server, int strict) {
         double warmth = warmth(now, server);
         if (warmth >= 1) {
             return true;
         }
-        double usualWork = Math.max(1e-9, server.weight * terms.fallSpan() * carried.total(now) / CARRIED_SPAN);
+        double rate = carried.total(now) / CARRIED_SPAN;
+        double usualWork = Math.max(1e-9, server.weight * terms.fallSpan() * rate);
         double proven = server.committed.total(now);
         double able = Math.max(warmth * usualWork, proven);
         double budget = COLD_MARGIN * terms.fallMultiple() * able;
         if (strict > 2 && chance.next() > Math.max(warmth, 2 * proven / usualWork)) {
             return false;
         }
-        // However little is known, a hop now and then: at most one core's cold share if every sidecar does the same.
+        // However little is known, a hop now and then: at most one core's cold share if every sidecar does
+        // the same.
         long apart = (long) (terms.sidecars() * bare / (terms.coldFrom() * terms.fallMultiple()));
-        return server.sentLately.total(now) + cost(tx) <= budget || now - server.lastSent > Math.max(apart, terms.fallSpan());
+        return server.sentLately.total(now) + cost(tx) <= budget
+                || now - server.lastSent > Math.max(apart, terms.fallSpan());
     }
 
     /** What the transaction asks of a server, in the same unit whether servers are crowded or not. */
@@ -644,24 +667,28 @@
         return tx.cost > 0 ? tx.cost : 1_000 * usual[tx.profile] / usualAll;
     }
 
-    // Two thirds of what the rule allows if every sidecar does the same, for costs are guessed. What like servers
-    // carry, and what it was itself seen to commit, is at most the capacity.
+    // Two thirds of what the rule allows if every sidecar does the same, for costs are guessed. What like
+    // servers carry, and what it was itself seen to commit, is at most the capacity.
     private static final double COLD_MARGIN = 0.65;
     private static final long CARRIED_SPAN = 100_000;
     /** Work committed by warm servers, for each unit of their weight at that time. */
     private final Buckets carried = new Buckets(CARRIED_SPAN, 10);
 
-    // ------------------------------------------------------------------ the call tracker and the drop rate
+    // -------------------------------------------------- the call tracker and the drop rate
 
     private final double[] usual;
     private final double[] usualCost;
     private double bare;
     private double usualGoal;
-    // A best time is forgotten at 0.2% a second: a tenth in a minute, so that a long jam does not pass for health.
+    // A best time is forgotten at 0.2% a second: a tenth in a minute, so that a long jam does not pass for
+    // health.
     private static final double BARE_DRIFT = 1.002;
     private double usualAll;
 
-    /** How long a hop of this transaction usually takes, over all servers: its profile's mean, by its cost hint. */
+    /**
+     * How long a hop of this transaction usually takes, over all servers: its profile's mean, by its cost
+     * hint.
+     */
     private double expected(Tx tx) {
         double mean = usual[tx.profile];
         if (tx.cost > 0 && usualCost[tx.profile] > 0) {
@@ -693,7 +720,8 @@
             server.failedInRow++;
         }
         if (outcome == Outcome.NO_CONNECTION) {
-            server.roofFor = now > server.roofUntil + server.roofFor ? FIRST_ROOF : Math.min(LAST_ROOF, 2 * server.roofFor);
+            boolean anew = now > server.roofUntil + server.roofFor;
+            server.roofFor = anew ? FIRST_ROOF : Math.min(LAST_ROOF, 2 * server.roofFor);
             server.roof = Math.max(1, server.out);
             server.roofUntil = now + server.roofFor;
         }
@@ -726,8 +754,9 @@
         }
     }
 
-    // A server that takes no further connection may still serve on those it has (incident i9f667e): no more hops are
-    // out to it at once than then, for 2 s, and for twice as long each time it refuses again soon after.
+    // A server that takes no further connection may still serve on those it has (incident i9f667e): no more
+    // hops are out to it at once than then, for 2 s, and for twice as long each time it refuses again soon
+    // after.
     private static final long FIRST_ROOF = 20_000;
     private static final long LAST_ROOF = 160_000;
 
@@ -753,7 +782,8 @@
             double answers = server.answers.total(now);
             boolean slow = answers >= FEW_CALLS && server.slowness.total(now) / answers > SLOW * median;
             boolean failing = calls >= FEW_CALLS && server.failures.total(now) > 0.1 * calls;
-            server.drop = Math.max(0, Math.min(1, server.drop + (slow || failing ? GRADE_STEP : -GRADE_STEP)));
+            double step = slow || failing ? GRADE_STEP : -GRADE_STEP;
+            server.drop = Math.max(0, Math.min(1, server.drop + step));
             if (server.ready && !server.shut) {
                 if (server.zone == terms.homeZone()) {
                     homeSlow += server.slowness.total(now);
@@ -779,9 +809,12 @@
         return servers.stream().filter(s -> s.ready).mapToDouble(s -> s.drop).average().orElse(0);
     }
 
-    // ------------------------------------------------------------------ home preference
+    // -------------------------------------------------- home preference
 
-    /** Leans towards the own location while its servers are no slower than the others; graded like the drop rate. */
+    /**
+     * Leans towards the own location while its servers are no slower than the others; graded like the drop
+     * rate.
+     */
     private void leanHome(double homeSlow, double homeCalls, double farSlow, double farCalls) {
         if (terms.crossingFee() <= 0 || homeCalls < FEW_CALLS) {
             homeLean = 0;
@@ -795,7 +828,7 @@
     private static final double MOST_LEAN = 0.9;
     private double homeLean;
 
-    // ------------------------------------------------------------------ shutting out
+    // -------------------------------------------------- shutting out
 
     /** Every beat: how unlikely each server's silence is, from the hops out to it since its last answer. */
     private void listen(long now) {
@@ -833,8 +866,8 @@
         meanAge = openOut == 0 ? 0 : ages / openOut;
     }
 
-    // From this on, one look in twenty at a healthy server, its hops tell of it and no more of all servers' wait:
-    // a few stuck hops made sidecars with little traffic drop calls (incident ic8467a).
+    // From this on, one look in twenty at a healthy server, its hops tell of it and no more of all servers'
+    // wait: a few stuck hops made sidecars with little traffic drop calls (incident ic8467a).
     private static final double SUSPECT = 3;
     // A healthy server with exponential times is silent this long once in e^9, about eight thousand, looks.
     private static final double SILENCE = 9;
--- a/src/main/java/trestlegrade/Outlet.java
+++ b/src/main/java/trestlegrade/Outlet.java
@@ -1,6 +1,9 @@
 package trestlegrade;
 
-/** What the decisions ask of whoever carries them out. Transactions and endpoints go by the ids they came with. */
+/**
+ * What the decisions ask of whoever carries them out. Transactions and endpoints go by the ids they came
+ * with.
+ */
 public interface Outlet {
     /** Starts the transaction's next hop; hops are numbered from 0 in the order of these calls. */
     void send(long tx, long endpoint, long timeout);
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -57,7 +57,8 @@
         failedInRow = 0;
         roofUntil = 0;
         lastAnswer = now;
-        for (Buckets each : new Buckets[] {calls, failures, answers, slowness, lateCalls, lateFailures, committed}) {
+        Buckets[] all = {calls, failures, answers, slowness, lateCalls, lateFailures, committed};
+        for (Buckets each : all) {
             each.clear();
         }
     }
--- a/src/main/java/trestlegrade/benchlink/TermsReader.java
+++ b/src/main/java/trestlegrade/benchlink/TermsReader.java
@@ -44,7 +44,8 @@
         return new Terms(profiles, customers,
                 (int) Math.max(1, number("n_instances", 1.0)), (int) number("zone", 0.0),
                 (int) Math.max(1, number("ceilings.max_hops", 1.0)), flag("ceilings.second_copies"),
-                flag("ceilings.cancelling"), flag("ceilings.retry_after"), time("ceilings.max_retry_after", 0.0),
+                flag("ceilings.cancelling"), flag("ceilings.retry_after"),
+                time("ceilings.max_retry_after", 0.0),
                 choice("membership_mode", "pushed").equals("on_request"), time("safety.ask_within", 10_000.0),
                 !choice("weights", "off").equals("off"), flag("family_info.warm_keys"),
                 number("fees.cross_zone", 0.0), number("safety.cold_from", null), time("safety.cold", null),
@@ -66,7 +67,8 @@
             default -> throw bad(at + "group", "unknown value");
         };
         return new Profile(time(at + "service_goal", null), time(at + "hard_limit", null),
-                number(at + "revenue", 1.0), repeat, group, time(at + "dedup_window", journalled ? null : 0.0));
+                number(at + "revenue", 1.0), repeat, group,
+                time(at + "dedup_window", journalled ? null : 0.0));
     }
 
     private double number(String key, Double otherwise) {
--- a/src/test/java/trestlegrade/Desk.java
+++ b/src/test/java/trestlegrade/Desk.java
@@ -9,7 +9,9 @@
 import trestlegrade.Terms.Profile;
 import trestlegrade.Terms.Repeat;
 
-/** A sidecar's decisions with a fleet of ten servers (ids 100 to 109), whose answers the test gives by hand. */
+/**
+ * A sidecar's decisions with a fleet of ten servers (ids 100 to 109), whose answers the test gives by hand.
+ */
 final class Desk implements Outlet {
     record Sent(long tx, long server, long timeout, int hop) { }
 
@@ -48,8 +50,8 @@
     }
 
     void list(long id, State state, long launched) {
-        balance.listed(now, List.of(new Listed(id, (int) id % 2, 0, (int) (id - 100) / 2, state, 1, launched)),
-                false, false);
+        int cell = (int) (id - 100) / 2;
+        balance.listed(now, List.of(new Listed(id, (int) id % 2, 0, cell, state, 1, launched)), false, false);
     }
 
     long arrive(int profile) {
--- a/src/test/java/trestlegrade/GradesTest.java
+++ b/src/test/java/trestlegrade/GradesTest.java
@@ -71,7 +71,9 @@
         assertEquals(share, hops / (double) desk.sent.size(), 0.015);
     }
 
-    /** A server that falls silent, fails at once or takes no connection is left early and taken back after. */
+    /**
+     * A server that falls silent, fails at once or takes no connection is left early and taken back after.
+     */
     @ParameterizedTest
     @CsvSource({", 0, 60", "ERROR, 20, 60", "BROKEN, 20, 60", "NO_CONNECTION, 1200, 60"})
     void leftEarly(Outcome outcome, long took, int most) {
@@ -125,7 +127,9 @@
         assertEquals(roof, most);
     }
 
-    /** A jam (everything takes far longer than it can) ends arrivals early, and the end of it lets them in. */
+    /**
+     * A jam (everything takes far longer than it can) ends arrivals early, and the end of it lets them in.
+     */
     @Test
     void earlyRollback() {
         Desk desk = new Desk().fleet(State.READY, 0);
--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -48,8 +48,9 @@
             assertEquals(2, desk.sent.size());
             assertEquals(List.of(), desk.answers);
             if (expected.equals("group")) {
-                assertTrue(group == Group.CELL ? (first.server() - 100) / 2 == (desk.last().server() - 100) / 2
-                        : first.server() % 2 == desk.last().server() % 2);
+                long again = desk.last().server();
+                assertTrue(group == Group.CELL ? (first.server() - 100) / 2 == (again - 100) / 2
+                        : first.server() % 2 == again % 2);
             }
         }
     }
@@ -173,8 +174,8 @@
     }
 
     /**
-     * A cold server among warm ones, under a burst of ten times the usual: in no span of the rule's length does
-     * it get more than this sidecar's part of what the rule allows. Warm ones were carrying 50 hops/s each.
+     * A cold server among warm ones, under a burst of ten times the usual: in no span of the rule's length
+     * does it get more than this sidecar's part of what the rule allows. Warm ones were carrying 50 hops/s each.
      */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/src/test/java/trestlegrade/benchlink/LinkTest.java
+++ b/src/test/java/trestlegrade/benchlink/LinkTest.java
@@ -46,7 +46,8 @@
         return HexFormat.of().formatHex(out.toByteArray());
     }
 
-    private static final String LIST = "044c 00000000 00000001 2c9011f2 01 0000 0000 01 3fc00000 0000000000000000";
+    private static final String LIST = "044c 00000000 00000001 "
+            + "2c9011f2 01 0000 0000 01 3fc00000 0000000000000000";
     private static final String TOLD = "03f2 0003 00000029 01 00000000";
     private static final String JOB = "03fc 0003 5d3a91c4 00 00000000 0000000000000000 4059000000000000 "
             + "0000000000000000 0000";
@@ -71,7 +72,8 @@
     void stoppedInstances() throws IOException {
         assertEquals("00000014" + WAKE + "00000000",
                 talk(frame(2, born(3, SETTINGS), "0442 0003") + frame(3, LIST, TOLD, JOB)));
-        assertEquals("00000028" + WAKE + WAKE, talk(frame(3, born(3, SETTINGS), "0442 0003", born(3, SETTINGS))));
+        assertEquals("00000028" + WAKE + WAKE,
+                talk(frame(3, born(3, SETTINGS), "0442 0003", born(3, SETTINGS))));
     }
 
     @ParameterizedTest
