A search in vain is not repeated for each transaction in the same beat

Cause: with every server cold and its budget spent each arrival and each waiting transaction walked the whole ring at every strictness.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -454,16 +454,16 @@
     private final class Choose implements Stage {
         @Override
         public int pass(long now, Tx tx) {
-            Server trial = trialFor(now, tx);
-            Server server = trial != null ? trial : pick(now, tx);
+            boolean first = tx.hops.isEmpty();
+            Server trial = first && blocked ? null : trialFor(now, tx);
+            Server server = trial != null ? trial : first && blocked ? null : pick(now, tx);
             if (server == null) {
+                blocked |= first;
                 if (!tx.hops.isEmpty() || now - tx.arrived >= waitAtMost(tx)) {
                     giveUp(tx, 0);
                     return ENDED;
                 }
-                if (!waiting.contains(tx)) {
-                    waiting.add(tx);
-                }
+                waiting.add(tx);
                 return KEPT;
             }
             if (costly(tx)) {
@@ -484,7 +484,12 @@
         return Math.min(terms.profiles().get(tx.profile).serviceGoal(), tx.end - tx.arrived) / 4;
     }
 
+    // Once a beat a first hop that found no server spares the others the search: with all servers cold it cost
+    // most of a core.
+    private boolean blocked;
+
     private void retryWaiting(long now) {
+        blocked = false;
         if (waiting.isEmpty()) {
             return;
         }
@@ -538,6 +543,8 @@
         }
     }
 
+    private long picks;
+    private boolean dry;
     // The design's points for a healthy server of mean weight.
     private static final int POINTS = 100;
     // However odd the weights, the ring stays small.
@@ -548,9 +555,12 @@
      */
     private Server pick(long now, Tx tx) {
         int n = ringAt.length;
-        if (n == 0) {
+        // After a search in vain the servers are asked one by one before the whole ring is walked again.
+        if (n == 0 || dry && servers.stream().noneMatch(s -> s.ready && maySend(now, tx, s)
+                && mayTakeCold(now, tx, s, 0))) {
             return null;
         }
+        dry = false;
         int random = (int) (chance.next() * n);
         int start = random;
         boolean atHome = chance.next() < homeLean;
@@ -565,7 +575,7 @@
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always
         // hold.
         for (int strict = 4; strict >= 0; strict--) {
-            Server cold = null;
+            picks++;
             if (strict == 4 && !atHome && !keyed && crowding < CROWDED) {
                 continue;
             }
@@ -576,7 +586,7 @@
             for (int i = 0; i < n; i++) {
                 int point = start + i < n ? start + i : start + i - n;
                 Server server = servers.get(ringServer[point]);
-                if (server == cold || ringOrdinal[point] >= livePoints(server)
+                if (server.refusedPick == picks || ringOrdinal[point] >= livePoints(server)
                         || server.shut && strict > 0
                         || strict > 3 && (atHome && server.zone != terms.homeZone()
                                 || server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5)
@@ -587,12 +597,13 @@
                     continue;
                 }
                 if (server.launched != 0 && !mayTakeCold(now, tx, server, strict)) {
-                    cold = server;
+                    server.refusedPick = picks;
                     continue;
                 }
                 return server;
             }
         }
+        dry = true;
         return null;
     }
 
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -12,6 +12,7 @@
     int points;
     int out;
     long lastSent;
+    long refusedPick = -1;
 
     // The call tracker; failures and calls once more over a shorter span.
     final Buckets calls = new Buckets(50_000, 5);
