--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -197,6 +197,24 @@
         assertTrue(cold >= 1 && cold <= 3 * 0.25 * 50, "sent " + cold);
     }
 
+    /** A burst on a fleet that is cold as a whole: most wait in vain, and each gets one answer all the same. */
+    @Test
+    void aBurstOnAColdFleetIsAnswered() {
+        Desk desk = new Desk();
+        desk.fleet(State.READY, desk.now);
+        for (int i = 0; i < 100; i++) {
+            for (int j = 0; j < 20; j++) {
+                desk.arrive(2);
+            }
+            desk.pass(100);
+        }
+        long sentEarly = desk.sent.size();
+        assertTrue(sentEarly >= 10 && sentEarly <= 100, "sent " + sentEarly);
+        desk.pass(12_000);
+        assertEquals(2_000, desk.answers.size());
+        assertEquals(2_000, desk.answers.stream().map(a -> a.replaceAll("\\D", "")).distinct().count());
+    }
+
     @Test
     void aWholeFleetStartingColdStillServes() {
         Desk desk = new Desk();
