--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -633,7 +633,7 @@
         return seen;
     }
 
-    // Keys that come less often than every ten seconds find their server cold in any case.
+    // This sidecar sees only its part of a key's traffic: 30 s here are some seconds over all sidecars.
     private static final long SEEN_FOR = 300_000;
     private final long[] seenKey = new long[4096];
     private final long[] seenAt = new long[4096];
