--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -21,7 +21,6 @@
  * <li>shutting out: a server that falls silent or fails in a row is left at once and tried again with care;
  * <li>second copies and further hops, within a budget;
  * <li>early rollback when the wait already spoils the service goal;
- * <li>home preference: servers of the own location, while they are no slower;
  * <li>warm keys: a key seen lately takes its ring position from the key instead of from chance.
  * </ol>
  */
@@ -563,7 +562,6 @@
         dry = false;
         int random = (int) (chance.next() * n);
         int start = random;
-        boolean atHome = chance.next() < homeLean;
         boolean keyed = false;
         boolean trusted = terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT;
         if (terms.warmKeys() && tx.key != 0 && tx.hops.isEmpty() && seenLately(now, tx.key)) {
@@ -576,20 +574,18 @@
         // hold.
         for (int strict = 4; strict >= 0; strict--) {
             picks++;
-            if (strict == 4 && !atHome && !keyed && crowding < CROWDED) {
+            if (strict == 4 && !keyed && crowding < CROWDED) {
                 continue;
             }
             if (strict < 4) {
                 start = random;
-                atHome = false;
             }
             for (int i = 0; i < n; i++) {
                 int point = start + i < n ? start + i : start + i - n;
                 Server server = servers.get(ringServer[point]);
                 if (server.refusedPick == picks || ringOrdinal[point] >= livePoints(server)
                         || server.shut && strict > 0
-                        || strict > 3 && (atHome && server.zone != terms.homeZone()
-                                || server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5)
+                        || strict > 3 && (server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5)
                         || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
                         || strict > 1 && now < server.roofUntil && server.out >= server.roof
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
@@ -784,10 +780,6 @@
         }
         Arrays.sort(means, 0, n);
         double median = n == 0 ? 1 : (means[(n - 1) / 2] + means[n / 2]) / 2;
-        double homeSlow = 0;
-        double homeCalls = 0;
-        double farSlow = 0;
-        double farCalls = 0;
         for (Server server : servers) {
             double calls = server.calls.total(now);
             double answers = server.answers.total(now);
@@ -795,18 +787,8 @@
             boolean failing = calls >= FEW_CALLS && server.failures.total(now) > 0.1 * calls;
             double step = slow || failing ? GRADE_STEP : -GRADE_STEP;
             server.drop = Math.max(0, Math.min(1, server.drop + step));
-            if (server.ready && !server.shut) {
-                if (server.zone == terms.homeZone()) {
-                    homeSlow += server.slowness.total(now);
-                    homeCalls += answers;
-                } else {
-                    farSlow += server.slowness.total(now);
-                    farCalls += answers;
-                }
-            }
         }
         bare *= BARE_DRIFT;
-        leanHome(homeSlow, homeCalls, farSlow, farCalls);
     }
 
     private static final long GRADE_EVERY = 10_000;
@@ -820,25 +802,6 @@
         return servers.stream().filter(s -> s.ready).mapToDouble(s -> s.drop).average().orElse(0);
     }
 
-    // -------------------------------------------------- home preference
-
-    /**
-     * Leans towards the own location while its servers are no slower than the others; graded like the drop
-     * rate.
-     */
-    private void leanHome(double homeSlow, double homeCalls, double farSlow, double farCalls) {
-        if (terms.crossingFee() <= 0 || homeCalls < FEW_CALLS) {
-            homeLean = 0;
-            return;
-        }
-        boolean slower = farCalls >= FEW_CALLS && homeSlow / homeCalls > 1.1 * farSlow / farCalls;
-        homeLean = Math.max(0, Math.min(MOST_LEAN, homeLean + (slower ? -0.1 : 0.05)));
-    }
-
-    // A tenth goes anywhere, so that the other locations stay measured.
-    private static final double MOST_LEAN = 0.9;
-    private double homeLean;
-
     // -------------------------------------------------- shutting out
 
     /** Every beat: how unlikely each server's silence is, from the hops out to it since its last answer. */
--- a/src/main/java/trestlegrade/Terms.java
+++ b/src/main/java/trestlegrade/Terms.java
@@ -7,9 +7,9 @@
  * Only what the decisions read is here.
  */
 public record Terms(
-        List<Profile> profiles, List<Customer> customers, int sidecars, int homeZone,
+        List<Profile> profiles, List<Customer> customers, int sidecars,
         int maxHops, boolean secondCopies, boolean cancelling, boolean pauses, long longestPause,
-        boolean listOnRequest, long askWithin, boolean sizedWeights, boolean warmKeys, double crossingFee,
+        boolean listOnRequest, long askWithin, boolean sizedWeights, boolean warmKeys,
         double coldFrom, long coldFor, double fallMultiple, long fallSpan) {
 
     /** What a repeat of a transaction may do. */
--- a/src/main/java/trestlegrade/benchlink/TermsReader.java
+++ b/src/main/java/trestlegrade/benchlink/TermsReader.java
@@ -42,13 +42,13 @@
             customers.add(new Customer(number("tenants." + i + ".share", 1.0 / tenants)));
         }
         return new Terms(profiles, customers,
-                (int) Math.max(1, number("n_instances", 1.0)), (int) number("zone", 0.0),
+                (int) Math.max(1, number("n_instances", 1.0)),
                 (int) Math.max(1, number("ceilings.max_hops", 1.0)), flag("ceilings.second_copies"),
                 flag("ceilings.cancelling"), flag("ceilings.retry_after"),
                 time("ceilings.max_retry_after", 0.0),
                 choice("membership_mode", "pushed").equals("on_request"), time("safety.ask_within", 10_000.0),
                 !choice("weights", "off").equals("off"), flag("family_info.warm_keys"),
-                number("fees.cross_zone", 0.0), number("safety.cold_from", null), time("safety.cold", null),
+                number("safety.cold_from", null), time("safety.cold", null),
                 number("safety.fall_multiple", null), time("safety.fall", null));
     }
 
