--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -603,10 +603,9 @@
         return null;
     }
 
-    // Preferences hold only while the server has no more than its even part of what is in flight, for hot
-    // keys and the own location crowd servers else, and not once it has been graded down by half. Once the
-    // wait nears what is permitted at the least (0.15 of 0.2 of the service goal), every pick keeps to that
-    // part.
+    // A key's server is preferred only while it has no more than its even part of what is in flight, for hot
+    // keys crowd servers else, and not once it has been graded down by half. Once the wait nears what is
+    // permitted at the least (0.15 of 0.2 of the service goal), every pick keeps to that part.
     private static final double MUCH_DOWN = 0.5;
     private static final double CROWDED = 0.15;
 
