--- a/src/main/java/trestlegrade/sidecar/Commission.java
+++ b/src/main/java/trestlegrade/sidecar/Commission.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -73,6 +74,18 @@
         return terms.profiles().stream().mapToLong(Terms.Profile::hardLimit).max().orElse(0) / 10;
     }
 
+    /** What another file says otherwise, of all that holds until the program ends. */
+    List<String> differsIn(Commission other) {
+        Map<String, Boolean> same = new LinkedHashMap<>();
+        same.put("name", name.equals(other.name));
+        same.put("listen", listen.equals(other.listen));
+        same.put("limits", sockets == other.sockets);
+        same.put("settings", terms.equals(other.terms) && profiles.equals(other.profiles)
+                && customers.equals(other.customers) && idleFor == other.idleFor
+                && connectWithin == other.connectWithin);
+        return same.keySet().stream().filter(key -> !same.get(key)).toList();
+    }
+
     private static int sockets(JsonObject limits) {
         // Under 64 there is no room for the program itself, discovery and a few connections on either side.
         if (!(limits.getValue("sockets") instanceof Number n) || n.intValue() < 64) {
--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -19,7 +19,7 @@
     private final Vertx vertx;
     private final Clock clock;
     private final Counters counters;
-    private final SocketAddress address;
+    private SocketAddress address;
     private final HttpClientAgent client;
     private final Desk desk;
     private long version;
@@ -52,16 +52,31 @@
     void watch() {
         if (current == null) {
             counters.watches++;
-            current = new Watch();
+            Watch watch = new Watch();
+            current = watch;
             long wait = (notBefore - clock.now()) / 10;
             if (wait > 0) {
-                vertx.setTimer(wait, t -> current.begin());
+                vertx.setTimer(wait, t -> watch.begin());
             } else {
-                current.begin();
+                watch.begin();
             }
         }
     }
 
+    /** Another place to ask, from now on. The list and its version stay: it is one service for all. */
+    void moveTo(SocketAddress to) {
+        if (!to.equals(address)) {
+            Watch old = current;
+            current = null;
+            if (old != null) {
+                old.end("moved");
+            }
+            address = to;
+            notBefore = 0;
+            watch();
+        }
+    }
+
     // The decisions back off from calls that fail. A watch that brings the list and ends at once, over and
     // over, does not count as one for them, and was asked for ten times a second.
     private static final long APART = 10_000;
@@ -75,6 +90,9 @@
         private boolean ended;
 
         void begin() {
+            if (ended) {
+                return;
+            }
             opened = clock.now();
             heard = opened;
             client.connect(new HttpConnectOptions().setServer(address).setHost(address.host())
@@ -139,14 +157,16 @@
                 return;
             }
             ended = true;
-            current = null;
-            notBefore = heardLines > 0 ? opened + APART : 0;
             counters.ended("watch", code, address.toString(), heardLines,
                     clock.now() - opened);
             if (connection != null) {
                 connection.close();
             }
-            desk.listFailed();
+            if (current == this) {
+                current = null;
+                notBefore = heardLines > 0 ? opened + APART : 0;
+                desk.listFailed();
+            }
         }
     }
 }
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -12,10 +12,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
+import sun.misc.Signal;
 
 /** Puts one sidecar together, starts it, and brings it to its end on SIGTERM. */
 public final class Sidecar {
     private final Commission commission;
+    private final Map<String, String> environment;
     private final LogLines log = new LogLines();
     private final Counters counters = new Counters(log);
     private final Descriptors clients;
@@ -23,9 +25,11 @@
     private final CountDownLatch failed = new CountDownLatch(1);
     private Desk desk;
     private Front front;
+    private Discovery discovery;
 
-    Sidecar(Commission commission) {
+    Sidecar(Commission commission, Map<String, String> environment) {
         this.commission = commission;
+        this.environment = environment;
         clients = new Descriptors(commission.sockets());
     }
 
@@ -38,7 +42,7 @@
             System.err.println("serve: " + e.getMessage());
             return false;
         }
-        return new Sidecar(commission).run();
+        return new Sidecar(commission, environment).run();
     }
 
     /** Starts a sidecar with made-up terms on a free port of loopback, and waits until it is ready. */
@@ -46,7 +50,7 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             JsonObject file = new JsonObject(MADE_UP).put("listen", "127.0.0.1:" + free.getLocalPort());
             free.close();
-            Sidecar sidecar = new Sidecar(Commission.of(file, Map.of()));
+            Sidecar sidecar = new Sidecar(Commission.of(file, Map.of()), Map.of());
             Vertx vertx = sidecar.vertx();
             Context context = vertx.getOrCreateContext();
             int played = Future.<Integer>future(ready -> context.runOnContext(v ->
@@ -80,6 +84,8 @@
     private boolean run() {
         Vertx vertx = vertx();
         Context context = vertx.getOrCreateContext();
+        // A JVM ends on SIGHUP unless somebody asks for it.
+        Signal.handle(new Signal("HUP"), signal -> reread(context));
         context.runOnContext(v -> {
             try {
                 start(vertx, context).onFailure(e -> failed.countDown());
@@ -119,7 +125,7 @@
         desk = new Desk(vertx, context, clock, counters, commission.terms(), commission.seed());
         Hops hops = new Hops(vertx, clock, counters, desk::hopEnded, commission);
         Roster roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, log);
-        Discovery discovery = new Discovery(vertx, clock, counters, commission.discovery(),
+        discovery = new Discovery(vertx, clock, counters, commission.discovery(),
                 commission.version(), desk);
         front = new Front(vertx, clock, counters, desk, roster, commission, clients,
                 new Lateness(vertx, clock, counters.loopLate));
@@ -139,6 +145,27 @@
                 });
     }
 
+    /**
+     * SIGHUP: the file is read anew, on the signal's own thread. Where discovery is may change under way; all
+     * else is what this sidecar began with, so another value there waits for a restart and is named in the log.
+     */
+    private void reread(Context context) {
+        Commission told;
+        try {
+            told = Commission.read(environment);
+        } catch (RuntimeException e) {
+            log.add(() -> Logger.warn("reload code=unreadable cause={}", e.getMessage()));
+            return;
+        }
+        log.add(() -> Logger.info("reload code=read discovery={} at_restart={}", told.discovery(),
+                commission.differsIn(told)));
+        context.runOnContext(v -> {
+            if (discovery != null) {
+                discovery.moveTo(told.discovery());
+            }
+        });
+    }
+
     /** Ends once all that was taken is answered, at the latest when the last hard limit has passed. */
     private void leave(Vertx vertx) {
         int open = desk.open();
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -495,6 +495,59 @@
         assertTrue(log.contains("code=ended") && log.contains("\"taken\":4,\"committed\":4"), log);
     }
 
+    /** The file's discovery is asked from SIGHUP on; what is open, the list and the old place of a bad file stay. */
+    @Test
+    void onSighupTheFileIsReadAnew() throws Exception {
+        Stub first = endpoint(r -> {
+            pause(200);
+            return answer(200, "", "good");
+        });
+        Stub second = endpoint(r -> answer(200, "", "good"));
+        Stub elsewhere = new Stub(r -> HANG);
+        opened.add(elsewhere);
+        serve();
+        within(1_000, () -> discovery.seen.size() == 1);
+        Path file = dir.resolve("config.json");
+        JsonObject told = new JsonObject(Files.readString(file));
+        for (String bad : List.of("{\"name\":", told.copy().put("discovery", "nowhere").encode())) {
+            Files.writeString(file, bad);
+            signal("HUP");
+            within(1_000, () -> log().contains(bad.endsWith(":") ? "code=unreadable" : "discovery: must be host:port"));
+        }
+        assertEquals(0, discovery.ended.size());
+        Client client = client();
+        client.write(transaction("post-charge", "t", 2_000));
+        told.put("discovery", "127.0.0.1:" + elsewhere.port()).getJsonObject("limits").put("sockets", 512);
+        Files.writeString(file, told.encode());
+        for (int i = 0; i < 3; i++) {
+            signal("HUP");
+            pause(20);
+        }
+        assertTrue(client.read().startsWith("HTTP/1.1 200 "));
+        within(1_000, () -> elsewhere.seen.size() == 1 && discovery.ended.size() == 1);
+        assertTrue(elsewhere.seen.get(0).startsWith("GET /catalog/members?stream=1&index=7 "), elsewhere.seen.get(0));
+        assertTrue(log().contains("at_restart=[limits]"), log());
+        elsewhere.line(list(8, false, entry(0, "leaving")));
+        within(1_000, () -> counters().getLong("list_lines") == 1);
+        int before = first.seen.size();
+        for (int i = 0; i < 20; i++) {
+            assertTrue(client.ask(transaction("quote", "u" + i, 900)).startsWith("HTTP/1.1 200 "));
+        }
+        assertEquals(before, first.seen.size());
+        assertEquals(1, elsewhere.connections + elsewhere.ended.size());
+        process.destroy();
+        assertTrue(process.waitFor(2, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    private String log() {
+        try {
+            return Files.readString(dir.resolve("log"));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void aLogThatNobodyReadsHoldsUpNeitherServingNorTheEnd() throws Exception {
         endpoint(r -> answer(200, "", "good"));
