--- /dev/null
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -0,0 +1,199 @@
+package trestlegrade.sidecar;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * The application's connections: how many there may be, and how long each may stand without a transaction. One
+ * that brings nothing is ended before it costs those that do a turn or a descriptor.
+ */
+final class Clients {
+
+    /** One connection; {@code reason} says why it ends once this side has decided that. */
+    static final class Connection {
+        private final HttpConnection http;
+        private final long opened;
+        private long used;
+        private int carried;
+        /** The answer that is owed to what is being read; null while nothing is. */
+        private HttpServerResponse reading;
+        private Exchange exchange;
+        private boolean ending;
+        String reason;
+
+        private Connection(HttpConnection http, long opened) {
+            this.http = http;
+            this.opened = opened;
+            used = opened;
+        }
+
+        /** A head has come. */
+        void reads(HttpServerResponse answer, long now) {
+            reading = answer;
+            used = now;
+        }
+
+        boolean reading() {
+            return reading != null;
+        }
+
+        /** What was read is a transaction. */
+        void took(Exchange taken) {
+            reading = null;
+            exchange = taken;
+            carried++;
+        }
+
+        private boolean busy() {
+            return reading != null || exchange != null && !exchange.over();
+        }
+
+        /** Whether its last answer has been given: what still comes on it is nobody's. */
+        boolean ending() {
+            return ending;
+        }
+
+        /** Vert.x leaves a connection open after an answer that says it ends, so it is closed here. */
+        void answer(HttpServerResponse response, int status, Buffer body, long now) {
+            Future<Void> written = send(response, status, body, now);
+            if (ending) {
+                written.onComplete(done -> http.close());
+            }
+        }
+
+        Future<Void> send(HttpServerResponse response, int status, Buffer body, long now) {
+            ending = reason != null;
+            if (ending) {
+                response.putHeader("Connection", "close");
+            }
+            // A connection may stand idle for a while: what its last transaction brought is not held for that.
+            reading = null;
+            exchange = null;
+            used = now;
+            return response.setStatusCode(status).end(body);
+        }
+
+        void close(String why) {
+            reason = reason == null ? why : reason;
+            http.close();
+        }
+    }
+
+    private final Clock clock;
+    private final Counters counters;
+    private final Descriptors descriptors;
+    private final Consumer<Exchange> left;
+    // Oldest first.
+    private final Map<HttpConnection, Connection> open = new LinkedHashMap<>();
+
+    Clients(Vertx vertx, Clock clock, Counters counters, Descriptors descriptors, Consumer<Exchange> left) {
+        this.clock = clock;
+        this.counters = counters;
+        this.descriptors = descriptors;
+        this.left = left;
+        vertx.setPeriodic(LOOK, t -> look());
+    }
+
+    // Milliseconds; a tenth of the time below.
+    private static final long LOOK = 200;
+    // A client sends as soon as it is connected, and a whole transaction at once. Applications bound how many
+    // connections they hold as well: those that are kept without use leave them none to ask on (24,735
+    // transactions of a churn day found none while they were kept for a minute).
+    private static final long STANDS = 20_000;
+
+    Connection of(HttpConnection connection) {
+        return open.get(connection);
+    }
+
+    void connected(HttpConnection connection) {
+        Connection client = new Connection(connection, clock.now());
+        open.put(connection, client);
+        connection.exceptionHandler(e -> { });
+        connection.closeHandler(v -> {
+            open.remove(connection);
+            String unasked = client.busy() ? "client-left" : "client-closed";
+            String code = client.reason != null ? client.reason : unasked;
+            counters.ended("client", code, connection.remoteAddress().toString(), client.carried,
+                    clock.now() - client.opened);
+            if (client.exchange != null) {
+                left.accept(client.exchange);
+            }
+        });
+        if (open.size() > descriptors.most() - descriptors.most() / SPARE && !closeOneIdle()) {
+            // The last few are kept to answer those that there is no room for.
+            client.reason = "too-many";
+        }
+    }
+
+    private static final int SPARE = 8;
+
+    /** Ends what has stood too long since its last answer, or in the midst of a transaction. */
+    private void look() {
+        long now = clock.now();
+        for (Connection client : new ArrayList<>(open.values())) {
+            if (now - client.used <= STANDS || client.reason != null) {
+                continue;
+            }
+            if (client.reading != null) {
+                client.reason = "slow";
+                counters.rejected(408);
+                client.answer(client.reading, 408, Buffer.buffer(), now);
+            } else if (!client.busy()) {
+                client.close(client.carried == 0 ? "silent" : "unused");
+            }
+        }
+    }
+
+    /**
+     * Makes room by ending a connection that has not brought anything yet, or else the one unused for longest.
+     * One used just now may hold the next transaction unread while the loop is late, and to close it lost 204
+     * of them with 0.15 of a core.
+     */
+    private boolean closeOneIdle() {
+        long now = clock.now();
+        Connection most = null;
+        for (Connection client : open.values()) {
+            if (client.busy() || client.reason != null) {
+                continue;
+            }
+            if (client.carried == 0 && now - client.opened > NEW) {
+                most = client;
+                break;
+            }
+            if (now - client.used > UNUSED && (most == null || client.used < most.used)) {
+                most = client;
+            }
+        }
+        if (most != null) {
+            most.close("room");
+        }
+        return most != null;
+    }
+
+    // What a client has sent with its connection has been read by then, on a loop that stalls as below.
+    private static final long NEW = 1_000;
+    // Ten times the longest stall seen with 0.15 of a core.
+    private static final long UNUSED = 10_000;
+
+    /** Idle connections are closed, and each other one with its next answer. */
+    void leave() {
+        for (Connection client : new ArrayList<>(open.values())) {
+            if (client.busy()) {
+                client.reason = "leaving";
+            } else {
+                client.close("leaving");
+            }
+        }
+    }
+
+    boolean isEmpty() {
+        return open.isEmpty();
+    }
+}
--- a/src/main/java/trestlegrade/sidecar/Descriptors.java
+++ b/src/main/java/trestlegrade/sidecar/Descriptors.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** How many connections one side may hold: clients or hops, each half of what this process may. */
+/** How many connections one side may hold, clients or hops, of those that this process may. */
 final class Descriptors {
     // Its listener, discovery, jar, pipes and the loops' own come to 20; the rest is for what just closes.
     private static final int OWN = 32;
@@ -11,8 +11,20 @@
     private final AtomicInteger held = new AtomicInteger();
     private volatile Runnable whenFree = () -> { };
 
-    Descriptors(int sockets) {
-        most = (sockets - OWN) / 2;
+    private Descriptors(int most) {
+        this.most = most;
+    }
+
+    // Applications hold a third of all for transactions at the most. Hops need as many and a few for further
+    // ones and for what has just been closed; the rest is for clients that bring nothing.
+    private static final double HOPS = 0.45;
+
+    static Descriptors forHops(int sockets) {
+        return new Descriptors((int) ((sockets - OWN) * HOPS));
+    }
+
+    static Descriptors forClients(int sockets) {
+        return new Descriptors(sockets - OWN - forHops(sockets).most);
     }
 
     void take() {
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -5,18 +5,19 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClosedException;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import java.util.ArrayList;
+import java.io.IOException;
 import java.util.HashMap;
-import java.util.IdentityHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import trestlegrade.sidecar.Clients.Connection;
 
 /** The application's side: reads transactions, hands them to the desk, and answers what is not one itself. */
 final class Front {
@@ -29,55 +30,28 @@
     private final Desk desk;
     private final Roster roster;
     private final Commission commission;
-    private final Descriptors descriptors;
     private final Lateness lateness;
     private final Map<String, Integer> profiles;
     private final Map<String, Integer> customers;
-    private final Map<HttpConnection, Connection> clients = new IdentityHashMap<>();
+    private final Clients clients;
+    /** The ids of the transactions that are open. */
+    private final Set<String> traces = new HashSet<>();
     private final HttpServer server;
     private boolean ready;
     private boolean leaving;
     private boolean closing;
 
-    /** One connection of the application; {@code reason} says why it ends once this side has decided that. */
-    private static final class Connection {
-        final HttpConnection http;
-        final long opened;
-        int carried;
-        long used;
-        boolean reading;
-        Exchange exchange;
-        String reason;
-
-        Connection(HttpConnection http, long opened) {
-            this.http = http;
-            this.opened = opened;
-            used = opened;
-        }
-
-        boolean busy() {
-            return reading || exchange != null && !exchange.over();
-        }
-
-        /** Vert.x leaves a connection open after an answer that says it ends, so it is closed here. */
-        void answer(HttpServerResponse response, int status, Buffer body) {
-            boolean last = reason != null;
-            if (last) {
-                response.putHeader("Connection", "close");
-            }
-            // A connection may stand idle for long: what its last transaction brought is not held for that.
-            exchange = null;
-            response.setStatusCode(status).end(body).onComplete(written -> {
-                if (last) {
-                    http.close();
-                }
-            });
-        }
-    }
-
     /** The way back to the application; one transaction at a time is under way on a connection. */
-    private record Reply(Connection connection, HttpServerResponse response) implements Exchange.Client {
-        private static final Buffer NONE = Buffer.buffer();
+    private final class Reply implements Exchange.Client {
+        private final Connection connection;
+        private final HttpServerResponse response;
+        private final String trace;
+
+        Reply(Connection connection, HttpServerResponse response, String trace) {
+            this.connection = connection;
+            this.response = response;
+            this.trace = trace;
+        }
 
         @Override
         public boolean gone() {
@@ -87,7 +61,7 @@
         @Override
         public void committed(MultiMap head, Buffer answer) {
             response.headers().addAll(head);
-            connection.answer(response, 200, answer);
+            answer(200, answer);
         }
 
         @Override
@@ -95,15 +69,22 @@
             if (pause > 0) {
                 response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", pause / 10_000.0));
             }
-            connection.answer(response, 503, NONE);
+            answer(503, NOTHING);
         }
 
         @Override
         public void abandoned() {
-            connection.answer(response, 502, NONE);
+            answer(502, NOTHING);
+        }
+
+        private void answer(int status, Buffer body) {
+            traces.remove(trace);
+            connection.answer(response, status, body, clock.now());
         }
     }
 
+    private static final Buffer NOTHING = Buffer.buffer();
+
     Front(Vertx vertx, Clock clock, Counters counters, Desk desk, Roster roster, Commission commission,
           Descriptors descriptors, Lateness lateness) {
         this.vertx = vertx;
@@ -111,21 +92,23 @@
         this.counters = counters;
         this.desk = desk;
         this.roster = roster;
-        this.descriptors = descriptors;
         this.lateness = lateness;
         this.commission = commission;
         profiles = numbered(commission.profiles());
         customers = numbered(commission.customers());
-        server = vertx.createHttpServer(new HttpServerOptions().setHost(commission.listen().host())
+        clients = new Clients(vertx, clock, counters, descriptors, this::left);
+        HttpServerOptions options = new HttpServerOptions().setHost(commission.listen().host())
                 .setPort(commission.listen().port()).setTcpNoDelay(true).setHttp2ClearTextEnabled(false)
-                .setHandle100ContinueAutomatically(true).setIdleTimeout(IDLE).setAcceptBacklog(BACKLOG));
-        server.connectionHandler(this::connected);
+                .setHandle100ContinueAutomatically(true).setAcceptBacklog(BACKLOG);
+        server = vertx.createHttpServer(options);
+        server.connectionHandler(connection -> {
+            StrictDecoder.on(connection, options);
+            clients.connected(connection);
+        });
         server.invalidRequestHandler(this::malformed);
         server.requestHandler(this::request);
     }
 
-    // Seconds; also bounds how long a client may stop in the midst of a head or a body.
-    private static final int IDLE = 60;
     // More than the descriptors allow to be open: no client that comes during a stall is turned away.
     private static final int BACKLOG = 1024;
 
@@ -133,47 +116,6 @@
         return server.listen();
     }
 
-    // -------------------------------------------------- connections
-
-    private void connected(HttpConnection connection) {
-        Connection client = new Connection(connection, clock.now());
-        clients.put(connection, client);
-        connection.exceptionHandler(e -> { });
-        connection.closeHandler(v -> {
-            clients.remove(connection);
-            String unasked = client.busy() ? "client-left" : "client-closed";
-            String code = client.reason != null ? client.reason : unasked;
-            counters.ended("client", code, connection.remoteAddress().toString(), client.carried,
-                    clock.now() - client.opened);
-            if (client.exchange != null) {
-                desk.clientLeft(client.exchange);
-            }
-        });
-        if (clients.size() > descriptors.most() * 3 / 4 && !closeOneIdle()) {
-            // The last quarter is kept to answer those that there is no room for.
-            client.reason = "too-many";
-        }
-    }
-
-    /**
-     * Makes room by ending a connection that its client has not used of late. One used just now may hold the
-     * next transaction unread while the loop is late, and to close it lost 204 of them with 0.15 of a core.
-     */
-    private boolean closeOneIdle() {
-        for (var each : clients.entrySet()) {
-            Connection client = each.getValue();
-            if (!client.busy() && client.reason == null && clock.now() - client.used > UNUSED) {
-                client.reason = "room";
-                each.getKey().close();
-                return true;
-            }
-        }
-        return false;
-    }
-
-    // Ten times the longest stall seen with that little of a core.
-    private static final long UNUSED = 10_000;
-
     /**
      * SIGTERM has come. All is served as before while new clients may still come; then the listener ends,
      * idle connections are closed, and each other one with its next answer.
@@ -183,13 +125,7 @@
         vertx.setTimer(LINGER, t -> {
             closing = true;
             server.shutdown(commission.longestLimit(), TimeUnit.MILLISECONDS);
-            for (var each : new ArrayList<>(clients.entrySet())) {
-                Connection client = each.getValue();
-                client.reason = "leaving";
-                if (!client.busy()) {
-                    each.getKey().close();
-                }
-            }
+            clients.leave();
         });
     }
 
@@ -209,37 +145,53 @@
 
     private void request(HttpServerRequest request) {
         String target = request.uri();
+        Connection client = clients.of(request.connection());
+        HttpServerResponse response = request.response();
+        if (client.ending()) {
+            return;
+        }
         if (target.equals("/_health")) {
-            request.response().setStatusCode(ready && roster.anyActive() && !leaving ? 200 : 503).end();
-        } else if (target.equals(Rehearsal.TARGET)) {
-            request.response().end(Rehearsal.TARGET);
+            int status = ready && roster.anyActive() && !leaving ? 200 : 503;
+            client.answer(response, status, NOTHING, clock.now());
+        } else if (target.equals(Rehearsal.TARGET) && !ready) {
+            client.answer(response, 200, Buffer.buffer(target), clock.now());
         } else if (target.equals("/_counters")) {
-            request.response().putHeader("Content-Type", "application/json")
-                    .end(counters.report().encodePrettily() + "\n");
+            response.putHeader("Content-Type", "application/json");
+            client.answer(response, 200, Buffer.buffer(counters.report().encodePrettily() + "\n"), clock.now());
         } else {
-            Connection client = clients.get(request.connection());
-            client.reading = true;
-            client.used = clock.now();
-            Buffer body = Buffer.buffer();
-            request.handler(part -> {
-                if (body.length() + part.length() <= LONGEST_BODY) {
-                    body.appendBuffer(part);
-                } else if (client.reading) {
-                    oversized(request, client);
-                }
-            });
-            request.exceptionHandler(e -> {
-                // Vert.x has ended the connection: the client left, or what it sent is no body.
-                client.reason = e instanceof HttpClosedException ? "client-left" : "malformed";
-            });
-            request.endHandler(v -> {
-                if (client.reading) {
-                    client.reading = false;
-                    take(request, client, body);
-                } else {
-                    client.http.close();
-                }
-            });
+            read(request, client);
+        }
+    }
+
+    private void read(HttpServerRequest request, Connection client) {
+        client.reads(request.response(), clock.now());
+        Buffer body = Buffer.buffer();
+        request.handler(part -> {
+            if (body.length() + part.length() <= LONGEST_BODY) {
+                body.appendBuffer(part);
+            } else if (client.reading()) {
+                oversized(request, client);
+            }
+        });
+        request.exceptionHandler(e -> {
+            // Vert.x has ended the connection: the client left, or what it sent is no body.
+            if (client.reason == null) {
+                client.reason = e instanceof HttpClosedException || e instanceof IOException
+                        ? "client-left" : "malformed";
+            }
+        });
+        request.endHandler(v -> {
+            if (client.reading()) {
+                take(request, client, body);
+            } else {
+                // Answered before its last byte, which has come.
+                client.close(client.reason);
+            }
+        });
+        if (request.headers().contains("Transfer-Encoding") && request.headers().contains("Content-Length")) {
+            reject(request, client, 400, "malformed");
+        } else if (Heads.length(request.headers()) > LONGEST_BODY) {
+            oversized(request, client);
         }
     }
 
@@ -251,7 +203,10 @@
         Integer profile = profiles.get(named != null ? named : Heads.firstOfPath(target));
         long patience = Heads.patience(request.getHeader("X-Expires-In"));
         String uri = Heads.asSent(target);
-        if (trace == null || trace.isEmpty() || patience < 0 || uri == null || !target.startsWith("/")) {
+        if (traces.contains(trace)) {
+            // Somebody else's transaction is open under that id: no endpoint could tell the two apart.
+            reject(request, client, 409, "id-taken");
+        } else if (trace == null || trace.isEmpty() || patience < 0 || uri == null || !target.startsWith("/")) {
             reject(request, client, 400, "malformed");
         } else if (profile == null) {
             reject(request, client, 404, "unknown-profile");
@@ -261,25 +216,31 @@
         } else {
             long wait = Math.min(patience, commission.terms().profiles().get(profile).hardLimit());
             long end = clock.now() + wait - Math.min(Math.max(0, lateness.now()), wait / MOST_LATE);
-            client.exchange = new Exchange(request.method().name(), uri, Heads.onward(request.headers()),
+            Exchange exchange = new Exchange(request.method().name(), uri, Heads.onward(request.headers()),
                     body, profile, customers.getOrDefault(request.getHeader("X-Customer"), -1),
                     Heads.key(target), end,
                     Heads.cost(request.getHeader("X-Size-Hint")),
-                    new Reply(client, request.response()));
-            client.carried++;
+                    new Reply(client, request.response(), trace));
+            client.took(exchange);
+            traces.add(trace);
             counters.taken++;
             if (closing) {
                 client.reason = "leaving";
             }
-            desk.arrived(client.exchange);
+            desk.arrived(exchange);
         }
     }
 
     // However late the loop runs, three quarters of the client's wait are left for the work.
     private static final int MOST_LATE = 4;
 
+    private void left(Exchange exchange) {
+        traces.remove(exchange.head.get("X-Trace-Id"));
+        desk.clientLeft(exchange);
+    }
+
     private void malformed(HttpServerRequest request) {
-        Connection client = clients.get(request.connection());
+        Connection client = clients.of(request.connection());
         if (client != null) {
             client.reason = "malformed";
         }
@@ -289,11 +250,10 @@
 
     /** The rest of the body is read and dropped for a while: to close at once could cost the answer. */
     private void oversized(HttpServerRequest request, Connection client) {
-        client.reading = false;
         client.reason = "oversized";
         counters.rejected(413);
-        request.response().putHeader("Connection", "close").setStatusCode(413).end();
-        vertx.setTimer(DROPPING, t -> client.http.close());
+        client.send(request.response(), 413, NOTHING, clock.now());
+        vertx.setTimer(DROPPING, t -> client.close("oversized"));
     }
 
     // Milliseconds; a client on the same machine has sent a hundred megabytes by then.
@@ -301,10 +261,9 @@
 
     /** Answers what is no transaction; the connection ends with that, for what follows on it is unsure. */
     private void reject(HttpServerRequest request, Connection client, int status, String code) {
-        client.reading = false;
         client.reason = code;
         counters.rejected(status);
-        client.answer(request.response(), status, Reply.NONE);
+        client.answer(request.response(), status, NOTHING, clock.now());
     }
 
     private static Map<String, Integer> numbered(List<String> names) {
--- a/src/main/java/trestlegrade/sidecar/Heads.java
+++ b/src/main/java/trestlegrade/sidecar/Heads.java
@@ -67,6 +67,12 @@
         return Arrays.equals(bytes, text.getBytes(StandardCharsets.UTF_8)) ? text : null;
     }
 
+    /** How long the body is said to be; 0 where its head does not tell. */
+    static long length(MultiMap head) {
+        String text = head.get("Content-Length");
+        return text == null ? 0 : Long.parseLong(text.strip());
+    }
+
     /** How long the client waits, in tenths of a millisecond: a number and m or u; -1 if not to be read. */
     static long patience(String text) {
         if (text == null) {
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -45,7 +45,7 @@
         this.clock = clock;
         this.counters = counters;
         this.ends = ends;
-        descriptors = new Descriptors(commission.sockets());
+        descriptors = Descriptors.forHops(commission.sockets());
         connectWithin = Math.max(1, commission.connectWithin() / 10);
         // A fifth of the endpoint's own time is left for what is under way and for a late event loop.
         idleFor = commission.idleFor() * 4 / 5;
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -37,6 +37,7 @@
     private long roundBegun;
     private int asked;
     private int ended;
+    private boolean enough;
 
     Rehearsal(Vertx vertx, Context context, Clock clock, Commission commission, LogLines log) {
         this.clock = clock;
@@ -71,14 +72,15 @@
         long now = clock.now();
         if (++ended % ROUND == 0) {
             if (now - roundBegun < QUICK_ROUND || ended >= MOST || now - begun > LONGEST) {
-                done.tryComplete(ended);
+                enough = true;
             }
             roundBegun = now;
         }
-        if (!done.future().isComplete()) {
+        if (!enough) {
             ask();
         } else if (ended == asked) {
             hops.close();
+            done.complete(ended);
         }
     }
 
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -30,7 +30,7 @@
     Sidecar(Commission commission, Map<String, String> environment) {
         this.commission = commission;
         this.environment = environment;
-        clients = new Descriptors(commission.sockets());
+        clients = Descriptors.forClients(commission.sockets());
     }
 
     /** Serves until told to end; false if it could not begin. */
