Lanes read answers warily: spoilt ones end at once, what is beyond an answer reaches nobody

Seen: 29 answers served that no server made for their transaction. Ruled out: late answers of earlier lanes, ids, the front. At fault: Hops.answered, which trusted Vert.x's client: noise without a line end waited for a time-out, half a second message stayed in its buffer for the next hop, 102 counted as the answer, a length of 3 GB was read up to 64 KiB. Lanes are now sockets of Vert.x core with Netty's decoder (Answers), which knows whether an answer is awaited: a wrong first byte, a head or length that cannot be, a part that stays alone for the connect time end the hop at once (may have run); bytes beyond close the lane. Fields that no head may hold are left out, the answer counts.

--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -87,7 +87,8 @@
             exchange.out--;
             counters.hop(outcome);
             if (outcome == Outcome.COMMITTED) {
-                exchange.commit(hop.answerHead, hop.answer, counters);
+                exchange.commit(Heads.onward(hop.head.headers(), hop.head.headers().get("Connection")), hop.answer,
+                        counters);
                 counters.hopTook.recordValue(Math.min(clock.now() - hop.sent,
                         counters.hopTook.getHighestTrackableValue()));
             }
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -190,7 +190,7 @@
         });
         if (request.headers().contains("Transfer-Encoding") && request.headers().contains("Content-Length")) {
             reject(request, client, 400, "malformed");
-        } else if (Heads.length(request.headers()) > LONGEST_BODY) {
+        } else if (Heads.length(request.getHeader("Content-Length")) > LONGEST_BODY) {
             oversized(request, client);
         }
     }
@@ -216,7 +216,8 @@
         } else {
             long wait = Math.min(patience, commission.terms().profiles().get(profile).hardLimit());
             long end = clock.now() + wait - Math.min(Math.max(0, lateness.now()), wait / MOST_LATE);
-            Exchange exchange = new Exchange(request.method().name(), uri, Heads.onward(request.headers()),
+            Exchange exchange = new Exchange(request.method().name(), uri, Heads.onward(request.headers(),
+                            request.getHeader("Connection")),
                     body, profile, customers.getOrDefault(request.getHeader("X-Customer"), -1),
                     Heads.key(target), end,
                     Heads.cost(request.getHeader("X-Size-Hint")),
--- a/src/main/java/trestlegrade/sidecar/Heads.java
+++ b/src/main/java/trestlegrade/sidecar/Heads.java
@@ -1,10 +1,18 @@
 package trestlegrade.sidecar;
 
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.internal.buffer.BufferInternal;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 
 /** Heads of messages: what the decisions need of them, and which fields go on to the other side. */
@@ -15,18 +23,36 @@
 
     private Heads() { }
 
-    /** All fields but those that are about one connection alone. */
-    static MultiMap onward(MultiMap came) {
+    /** All fields but those that are about one connection alone, and such as no head may hold. */
+    static MultiMap onward(Iterable<Map.Entry<String, String>> came, String named) {
         MultiMap onward = HttpHeaders.headers();
-        String named = came.get("Connection");
-        came.forEach((name, value) -> {
-            if (!STAY.contains(name.toLowerCase(Locale.ROOT)) && !names(named, name)) {
-                onward.add(name, value);
+        came.forEach(field -> {
+            String name = field.getKey();
+            if (!STAY.contains(name.toLowerCase(Locale.ROOT)) && !names(named, name)
+                    && HttpHeaderValidationUtil.validateToken(name) < 0
+                    && HttpHeaderValidationUtil.validateValidHeaderValue(field.getValue()) < 0) {
+                onward.add(name, field.getValue());
             }
         });
         return onward;
     }
 
+    /** A hop as it is written: all as it came, but the time that is left. */
+    static FullHttpRequest hop(Hop hop) {
+        Exchange exchange = hop.exchange;
+        DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(exchange.method), exchange.uri,
+                ((BufferInternal) exchange.body).getByteBuf(), new DefaultHttpHeaders(false), NO_TRAILER);
+        exchange.head.forEach((name, value) -> message.headers().add(name, value));
+        message.headers().set("X-Expires-In", Math.max(1, exchange.end - hop.sent) * 100 + "u");
+        if (exchange.body.length() > 0 || !exchange.method.equals("GET")) {
+            message.headers().set("Content-Length", exchange.body.length());
+        }
+        return message;
+    }
+
+    private static final DefaultHttpHeaders NO_TRAILER = new DefaultHttpHeaders(false);
+
     private static boolean names(String connection, String name) {
         if (connection == null || !connection.contains(",") && connection.length() != name.length()) {
             return false;
@@ -67,9 +93,8 @@
         return Arrays.equals(bytes, text.getBytes(StandardCharsets.UTF_8)) ? text : null;
     }
 
-    /** How long the body is said to be; 0 where its head does not tell. */
-    static long length(MultiMap head) {
-        String text = head.get("Content-Length");
+    /** How long a body is said to be by its Content-Length; 0 without one. */
+    static long length(String text) {
         return text == null ? 0 : Long.parseLong(text.strip());
     }
 
--- a/src/main/java/trestlegrade/sidecar/Hop.java
+++ b/src/main/java/trestlegrade/sidecar/Hop.java
@@ -1,7 +1,7 @@
 package trestlegrade.sidecar;
 
+import io.netty.handler.codec.http.HttpResponse;
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import trestlegrade.sidecar.Roster.Endpoint;
 
@@ -14,9 +14,12 @@
     Lane lane;
     /** Of the last byte; null until the hop is handed to a connection. */
     Future<Void> written;
-    MultiMap answerHead;
+    /** Of the answer; its body is null until it is whole. */
+    HttpResponse head;
     Buffer answer;
     long timer = -1;
+    /** Runs while a part of the answer has come. */
+    long partTimer = -1;
     boolean ended;
 
     Hop(Exchange exchange, int number, Endpoint endpoint, long sent) {
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -1,20 +1,15 @@
 package trestlegrade.sidecar;
 
 import com.carrotsearch.hppc.LongObjectHashMap;
+import io.netty.handler.codec.http.HttpUtil;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientAgent;
-import io.vertx.core.http.HttpClientConnection;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnectOptions;
-import io.vertx.core.http.HttpHeaders;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
+import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
 import trestlegrade.Outcome;
 import trestlegrade.sidecar.Roster.Endpoint;
 
@@ -22,7 +17,7 @@
  * Carries hops to endpoints, one at a time on a connection, and tells how each ended. Connections are this
  * class's own: no library may send a hop again, queue it behind another or pick its connection.
  */
-final class Hops {
+final class Hops implements Lane.Owner {
 
     /** Who is told that a hop has ended; never called from inside {@link #send} or {@link #callOff}. */
     interface Ends {
@@ -33,7 +28,7 @@
     private final Clock clock;
     private final Counters counters;
     private final Ends ends;
-    private final HttpClientAgent client;
+    private final NetClient client;
     private final LongObjectHashMap<Deque<Lane>> idle = new LongObjectHashMap<>();
     private final long connectWithin;
     private final long idleFor;
@@ -49,7 +44,7 @@
         connectWithin = Math.max(1, commission.connectWithin() / 10);
         // A fifth of the endpoint's own time is left for what is under way and for a late event loop.
         idleFor = commission.idleFor() * 4 / 5;
-        client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false).setTcpNoDelay(true)
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
                 .setConnectTimeout((int) connectWithin));
         sweeper = vertx.setPeriodic(SWEEP, t -> sweep());
     }
@@ -91,14 +86,22 @@
 
     private Lane idleLane(Endpoint endpoint) {
         Deque<Lane> free = idle.get(endpoint.id);
+        if (free == null) {
+            return null;
+        }
         // The one used last: the others grow old and are dropped, so that no more stay than are needed.
-        Lane lane = free == null ? null : free.pollLast();
-        while (lane != null && (lane.closed || lane.reason != null
-                || clock.now() - lane.idleSince > idleFor)) {
+        for (Iterator<Lane> each = free.descendingIterator(); each.hasNext();) {
+            Lane lane = each.next();
+            if (!lane.rested) {
+                continue;
+            }
+            each.remove();
+            if (!lane.closed && lane.reason == null && clock.now() - lane.idleSince <= idleFor) {
+                return lane;
+            }
             lane.close("idle");
-            lane = free.pollLast();
         }
-        return lane;
+        return null;
     }
 
     private void connect(Hop hop) {
@@ -106,47 +109,43 @@
         counters.connects++;
         Endpoint endpoint = hop.endpoint;
         long asked = clock.now();
-        client.connect(new HttpConnectOptions().setServer(endpoint.address).setHost(endpoint.address.host())
-                .setPort(endpoint.address.port())).onComplete(up -> {
-                    if (up.failed()) {
-                        descriptors.giveBack();
-                        counters.ended("lane", "connect-failed", endpoint.name, 0, clock.now() - asked);
-                        settle(hop, Outcome.NO_CONNECTION);
-                        return;
-                    }
-                    Lane lane = lane(endpoint, up.result());
-                    if (!endpoint.active) {
-                        lane.close("gone");
-                        settle(hop, Outcome.NOT_SENT);
-                    } else if (clock.now() - asked > 20 * connectWithin) {
-                        // The loop stood still: what the list says may have come in since and not been read.
-                        settle(hop, Outcome.NO_CONNECTION);
-                        release(lane);
-                    } else if (hop.ended) {
-                        release(lane);
-                    } else {
-                        write(hop, lane);
-                    }
-                });
-    }
-
-    private Lane lane(Endpoint endpoint, HttpClientConnection connection) {
-        Lane lane = new Lane(endpoint, connection, clock.now());
-        connection.closeHandler(v -> {
-            descriptors.giveBack();
-            lane.closed = true;
-            String code = lane.reason != null ? lane.reason : lane.hop == null ? "endpoint-closed" : "broken";
-            counters.ended("lane", code, endpoint.name, lane.carried, clock.now() - lane.opened);
-            Deque<Lane> free = idle.get(endpoint.id);
-            if (free != null) {
-                free.remove(lane);
+        client.connect(endpoint.address).onComplete(up -> {
+            if (up.failed()) {
+                descriptors.giveBack();
+                counters.ended("lane", "connect-failed", endpoint.name, 0, clock.now() - asked);
+                settle(hop, Outcome.NO_CONNECTION);
+                return;
             }
-            if (lane.hop != null) {
-                settle(lane.hop, Outcome.BROKEN);
+            Lane lane = new Lane(endpoint, (NetSocketInternal) up.result(), clock.now(), this);
+            lane.whenClosed(() -> closed(lane));
+            if (!endpoint.active) {
+                lane.close("gone");
+                settle(hop, Outcome.NOT_SENT);
+            } else if (clock.now() - asked > 20 * connectWithin) {
+                // The loop stood still: what the list says may have come in since and not been read.
+                settle(hop, Outcome.NO_CONNECTION);
+                release(lane);
+            } else if (hop.ended) {
+                release(lane);
+            } else {
+                write(hop, lane);
             }
         });
-        connection.exceptionHandler(e -> { });
-        return lane;
+    }
+
+    private void closed(Lane lane) {
+        descriptors.giveBack();
+        lane.closed = true;
+        String code = lane.reason != null ? lane.reason : lane.hop == null ? "endpoint-closed" : "broken";
+        counters.ended("lane", code, lane.endpoint.name, lane.carried, clock.now() - lane.opened);
+        Deque<Lane> free = idle.get(lane.endpoint.id);
+        if (free != null) {
+            free.remove(lane);
+        }
+        if (lane.hop != null) {
+            lane.reason = code;
+            settle(lane.hop, Outcome.BROKEN);
+        }
     }
 
     private void release(Lane lane) {
@@ -165,8 +164,15 @@
             idle.put(lane.endpoint.id, free);
         }
         free.addLast(lane);
+        // Endpoints close lanes right after an answer, or send more than one: a hop written before that has been
+        // read is lost, or gets another's answer. The loop reads between two timers that follow each other.
+        lane.rested = false;
+        vertx.setTimer(REST, t -> vertx.setTimer(REST, u -> lane.rested = true));
     }
 
+    // Milliseconds. What an endpoint does right behind an answer is there by then.
+    private static final long REST = 1;
+
     /** Closes the connections that have stood idle since before the time given. */
     private void dropIdle(Endpoint endpoint, String why, long before) {
         Deque<Lane> free = idle.get(endpoint.id);
@@ -200,60 +206,36 @@
 
     private void write(Hop hop, Lane lane) {
         hop.lane = lane;
-        lane.hop = hop;
-        lane.carried++;
-        long left = Math.max(1, hop.exchange.end - clock.now()) * 100;
-        RequestOptions head = new RequestOptions().setMethod(HttpMethod.valueOf(hop.exchange.method))
-                .setURI(hop.exchange.uri).setHeaders(HttpHeaders.headers().addAll(hop.exchange.head)
-                        .set("X-Expires-In", left + "u"));
-        lane.connection.request(head).onComplete(ready -> {
-            if (hop.ended) {
-                return;
-            }
-            if (ready.failed()) {
-                lane.close("broken");
-                settle(hop, Outcome.BROKEN);
-                return;
-            }
-            HttpClientRequest request = ready.result();
-            request.exceptionHandler(e -> broken(hop));
-            request.response().onSuccess(response -> answered(hop, response)).onFailure(e -> broken(hop));
-            counters.sent++;
-            hop.written = hop.exchange.body.length() == 0 && hop.exchange.method.equals("GET")
-                    ? request.end() : request.end(hop.exchange.body);
-        });
+        counters.sent++;
+        hop.written = lane.write(hop);
+        hop.written.onFailure(e -> spoilt(hop, "broken"));
     }
 
-    private void answered(Hop hop, HttpClientResponse response) {
-        Buffer body = Buffer.buffer();
-        response.exceptionHandler(e -> broken(hop));
-        response.handler(part -> {
-            if (body.length() + part.length() > Front.LONGEST_BODY) {
-                hop.lane.close("oversized");
-                settle(hop, Outcome.BROKEN);
-            } else {
-                body.appendBuffer(part);
-            }
-        });
-        response.endHandler(v -> {
-            if (hop.ended) {
-                return;
-            }
-            int status = response.statusCode();
-            boolean neverRan = (status == 503 || status == 504)
-                    && "1".equals(response.getHeader("X-Never-Ran"));
-            hop.answerHead = Heads.onward(response.headers());
-            hop.answer = body;
-            settle(hop, status == 200 ? Outcome.COMMITTED : neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR);
-            if ("close".equalsIgnoreCase(response.getHeader("Connection"))) {
-                hop.lane.close("endpoint-closes");
-            }
-        });
+    @Override
+    public void answered(Hop hop) {
+        int status = hop.head.status().code();
+        boolean neverRan = (status == 503 || status == 504) && "1".equals(hop.head.headers().get("X-Never-Ran"));
+        Lane lane = hop.lane;
+        settle(hop, status == 200 ? Outcome.COMMITTED : neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR);
+        if (!HttpUtil.isKeepAlive(hop.head)) {
+            lane.close("endpoint-closes");
+        }
     }
 
-    private void broken(Hop hop) {
-        hop.lane.close("broken");
-        settle(hop, Outcome.BROKEN);
+    @Override
+    public void spoilt(Hop hop, String why) {
+        if (!hop.ended) {
+            hop.lane.close(why);
+            settle(hop, Outcome.BROKEN);
+        }
+    }
+
+    /** Whatever sends answers sends each in one go: a part that stays alone for long is all there will be. */
+    @Override
+    public void unfinished(Hop hop) {
+        if (hop.partTimer < 0) {
+            hop.partTimer = vertx.setTimer(connectWithin, t -> spoilt(hop, "unfinished"));
+        }
     }
 
     /**
@@ -266,9 +248,8 @@
             return;
         }
         hop.ended = true;
-        if (hop.timer >= 0) {
-            vertx.cancelTimer(hop.timer);
-        }
+        vertx.cancelTimer(hop.timer);
+        vertx.cancelTimer(hop.partTimer);
         Lane lane = hop.lane;
         boolean whole = hop.written != null && hop.written.succeeded();
         boolean answered = outcome == Outcome.COMMITTED || outcome == Outcome.TURNED_AWAY
@@ -285,7 +266,8 @@
                 lane.hop = null;
             }
         }
-        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.BROKEN) {
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.BROKEN && hop.head == null && lane != null
+                && "broken".equals(lane.reason)) {
             // Those that have not answered since may lead to a silent machine, and a new one tells before
             // anything is sent on it. To close all was half of all connections on an overloaded day.
             dropIdle(hop.endpoint, "suspect", hop.sent);
--- a/src/main/java/trestlegrade/sidecar/Lane.java
+++ b/src/main/java/trestlegrade/sidecar/Lane.java
@@ -1,30 +1,124 @@
 package trestlegrade.sidecar;
 
-import io.vertx.core.http.HttpClientConnection;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.internal.buffer.BufferInternal;
+import io.vertx.core.internal.net.NetSocketInternal;
 import trestlegrade.sidecar.Roster.Endpoint;
 
-/** One connection to an endpoint, which carries one hop at a time. */
-final class Lane {
+/** One connection to an endpoint, which carries one hop at a time and reads its answer. */
+final class Lane implements Answers.Reader {
+
+    /** Told how the hop on a lane fares. */
+    interface Owner {
+        void answered(Hop hop);
+
+        /** It may have run, and its lane is of no further use. */
+        void spoilt(Hop hop, String why);
+
+        /** A part of the answer has come. */
+        void unfinished(Hop hop);
+    }
+
     final Endpoint endpoint;
-    final HttpClientConnection connection;
     final long opened;
+    private final NetSocketInternal socket;
+    private final Owner owner;
+    private Buffer body;
     long idleSince;
+    /** Whether the loop has looked for bytes since the last answer, and found none. */
+    boolean rested;
     int carried;
     Hop hop;
     /** Why it ends, once this side has decided that; else the endpoint did. */
     String reason;
     boolean closed;
 
-    Lane(Endpoint endpoint, HttpClientConnection connection, long opened) {
+    Lane(Endpoint endpoint, NetSocketInternal socket, long opened, Owner owner) {
         this.endpoint = endpoint;
-        this.connection = connection;
+        this.socket = socket;
         this.opened = opened;
+        this.owner = owner;
+        socket.channelHandlerContext().pipeline().addBefore("handler", "answers", new Answers(this))
+                .addBefore("handler", "hops", new HttpRequestEncoder());
+        socket.messageHandler(this::read);
+        socket.exceptionHandler(e -> { });
+    }
+
+    /** The future is done with its last byte. */
+    Future<Void> write(Hop next) {
+        hop = next;
+        carried++;
+        return socket.writeMessage(Heads.hop(next));
+    }
+
+    private void read(Object part) {
+        try {
+            if (!awaits() || ((HttpObject) part).decoderResult().isFailure()) {
+                return;
+            }
+            if (part instanceof HttpResponse head) {
+                hop.head = head;
+                body = Buffer.buffer();
+                if (Heads.length(head.headers().get("Content-Length")) > Front.LONGEST_BODY) {
+                    owner.spoilt(hop, "oversized");
+                }
+            } else if (part instanceof HttpContent content) {
+                if (body.length() + content.content().readableBytes() > Front.LONGEST_BODY) {
+                    owner.spoilt(hop, "oversized");
+                    return;
+                }
+                body.appendBuffer(BufferInternal.buffer(content.content()));
+                if (part instanceof LastHttpContent) {
+                    hop.answer = body;
+                    body = null;
+                    owner.answered(hop);
+                }
+            }
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
+    @Override
+    public boolean awaits() {
+        return hop != null && hop.answer == null && !hop.ended && reason == null;
+    }
+
+    @Override
+    public boolean bodiless() {
+        return hop != null && hop.exchange.method.equals("HEAD");
+    }
+
+    @Override
+    public void excess() {
+        close("excess");
+    }
+
+    @Override
+    public void spoilt() {
+        owner.spoilt(hop, "spoilt");
+    }
+
+    @Override
+    public void unfinished() {
+        owner.unfinished(hop);
+    }
+
+    void whenClosed(Runnable then) {
+        socket.closeHandler(v -> then.run());
     }
 
     void close(String why) {
         if (reason == null) {
             reason = why;
-            connection.close();
+            socket.close();
         }
     }
 }
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
@@ -129,6 +130,72 @@
         assertEquals(bad.seen.size(), bad.seen.stream().map(s -> header(s, "X-Trace-Id")).distinct().count());
     }
 
+    /** A spoilt answer may have run and costs its lane, at once; the next transaction gets its own answer. */
+    @ParameterizedTest
+    @CsvSource(value = {
+        "noise without an end|spoilt", "'\\r\\n'|spoilt", "HTTP/2.0 200 OK\\r\\n\\r\\n|spoilt",
+        "HTTP/1.1 200 OK\\r\\nContent-Le|unfinished", "'HTTP/1.1 2xx\\r\\n\\r\\n'|spoilt",
+        "HTTP/1.1 200 OK\\r\\nno colon here\\r\\nContent-Length: 4\\r\\n\\r\\nbody|spoilt",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nmore|unfinished",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: -4\\r\\n\\r\\nless|spoilt",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 4, 5\\r\\n\\r\\nboth|spoilt",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 4\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\r\\n|spoilt",
+        "HTTP/1.1 200 OK\\r\\n\\r\\nwhere does it end|spoilt",
+        "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\n|spoilt",
+        "HTTP/1.1 200 OK\\r\\nContent-Length: 3000000000\\r\\n\\r\\nmuch|oversized"}, delimiter = '|')
+    void aSpoiltAnswerIsAHopThatMayHaveRun(String answer, String code) throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        Function<String, String> oddOnesSpoilt = r -> asked.getAndIncrement() % 2 == 0
+                ? answer.replace("\\r", "\r").replace("\\n", "\n") : answer(200, "", header(r, "X-Trace-Id"));
+        Stub first = endpoint(oddOnesSpoilt);
+        Stub second = endpoint(oddOnesSpoilt);
+        serve();
+        Client client = client();
+        for (int i = 0; i < 3; i++) {
+            long start = System.nanoTime();
+            String got = client.ask(transaction("quote", "t" + i, 1_400));
+            assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("t" + i), got);
+            got = client.ask(transaction("post-charge", "u" + i, 2_000));
+            assertTrue(got.startsWith("HTTP/1.1 502 "), got);
+            long took = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(took < (code.equals("unfinished") ? 800 : 200), "after " + took + " ms");
+            assertTrue(client.ask(transaction("post-charge", "v" + i, 500)).endsWith("v" + i));
+        }
+        assertEquals(6, counters().getJsonObject("connections_ended").getLong("lane:" + code));
+        assertEquals(12, first.seen.size() + second.seen.size());
+    }
+
+    /** Good answers with more than belongs to them count; what is beyond costs the lane, never another's answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"twice", "noise behind", "later", "interim", "report", "ends"})
+    void whatAnAnswerBringsBesidesReachesNobody(String fault) throws Exception {
+        String good = "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n";
+        Stub endpoint = endpoint(r -> {
+            String mine = good + header(r, "X-Trace-Id");
+            return switch (fault) {
+                case "twice" -> mine + mine;
+                case "noise behind" -> mine + "noise";
+                case "interim" -> "HTTP/1.1 102 X\r\nA: b\r\n\r\nHTTP/1.1 103 X\r\n\r\n" + mine;
+                case "report" -> mine.replace("Content", "Endpoint-Load-Metrics: \u0001\u007f\r\nContent");
+                default -> mine;
+            };
+        });
+        endpoint.afterwards = fault.equals("later") ? good + "xx" : fault.equals("ends") ? CLOSE : HANG;
+        serve();
+        for (int round = 0; round < 20; round++) {
+            List<Client> pair = List.of(client(), client());
+            for (int i = 0; i < 10; i++) {
+                for (Client each : pair) {
+                    String trace = pair.indexOf(each) + "" + i;
+                    String got = each.ask(transaction("post-charge", trace, 900));
+                    assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("\r\n\r\n" + trace), got);
+                }
+            }
+        }
+        boolean kept = fault.equals("interim") || fault.equals("report");
+        assertTrue(kept ? endpoint.connections < 60 : endpoint.connections >= 200, endpoint.connections + " lanes");
+    }
+
     @ParameterizedTest
     @CsvSource({"quote, 503", "post-charge, 502"})
     void whatASilentEndpointKeepsIsAnsweredInTime(String profile, int status) throws Exception {
@@ -296,6 +363,7 @@
         Client client = client();
         for (int i = 0; i < 5; i++) {
             client.ask(transaction("quote", "t" + i, 500));
+            pause(20);
         }
         assertEquals(1, endpoint.connections);
         assertEquals(0, endpoint.ended.size());
@@ -322,6 +390,7 @@
             each.read();
         }
         assertEquals(3, endpoint.connections);
+        pause(20);
         clients.get(0).write(transaction("post-charge", "hang", 500));
         pause(50);
         assertTrue(clients.get(1).ask(transaction("quote", "u", 900)).startsWith("HTTP/1.1 200 "));
@@ -900,6 +969,8 @@
         private final List<Socket> sockets = new CopyOnWriteArrayList<>();
         private final ServerSocket listener;
         volatile Function<String, String> answers;
+        /** Sent right behind each answer in a write of its own, or the end of the connection. */
+        volatile String afterwards = HANG;
         volatile int connections;
 
         Stub(Function<String, String> answers) {
@@ -929,7 +1000,10 @@
                         return;
                     }
                     socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
-                    if (answer.endsWith("half") || answer.contains("Connection: close")) {
+                    if (afterwards != null) {
+                        socket.getOutputStream().write(afterwards.getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                    if (afterwards == null || answer.endsWith("half") || answer.contains("Connection: close")) {
                         return;
                     }
                 }
