--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -81,21 +81,19 @@
             listFailures = 0;
         }
         if (whole) {
-            servers.forEach(s -> s.ready = false);
+            servers.forEach(Server::leave);
         }
         for (Listed row : rows) {
             int index = serverIndex.getOrDefault(row.id(), -1);
             boolean fresh = index < 0;
-            if (fresh) {
-                index = servers.size();
-                serverIndex.put(row.id(), index);
-                servers.add(new Server(row.id(), index, terms.fallSpan()));
-            }
-            Server server = servers.get(index);
             if (row.state() == Listed.State.GONE) {
-                server.ready = false;
+                if (!fresh) {
+                    servers.get(index).leave();
+                }
                 continue;
             }
+            Server server = fresh ? newServer(row.id()) : servers.get(index);
+            server.gone = false;
             if (fresh || row.launched() > server.launched) {
                 server.startAfresh(now, meanDrop(), FIRST_TRIAL);
             }
@@ -114,6 +112,19 @@
         retryWaiting(now);
     }
 
+    /** In the place of one that has left, if there is one: endpoints come and go all day. */
+    private Server newServer(long id) {
+        int index = Server.vacancy(servers);
+        Server server = new Server(id, index, terms.fallSpan());
+        if (index == servers.size()) {
+            servers.add(server);
+        } else {
+            serverIndex.remove(servers.set(index, server).id);
+        }
+        serverIndex.put(id, index);
+        return server;
+    }
+
     /** A call for the list failed, or the subscription dropped. */
     public void listFailed(long now) {
         // Back-off doubles from 100 ms to an eighth of the time within which it must have been asked; the
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -1,5 +1,7 @@
 package trestlegrade;
 
+import java.util.List;
+
 /** One server as one sidecar knows it: what the list says, the call tracker's sums and the grades. */
 final class Server {
     final long id;
@@ -10,6 +12,7 @@
     double weight = 1;
     long launched;
     boolean ready;
+    boolean gone;
     /** Points on the ring when healthy. */
     int points;
     int laid;
@@ -51,6 +54,21 @@
         committed = new Buckets(coldSpan, 8);
     }
 
+    void leave() {
+        ready = false;
+        gone = true;
+    }
+
+    /** The place of one that has left and that no hop and no point on the ring refers to any more, or the end. */
+    static int vacancy(List<Server> servers) {
+        for (Server server : servers) {
+            if (server.gone && server.out == 0 && server.laid == 0) {
+                return server.index;
+            }
+        }
+        return servers.size();
+    }
+
     /** Forgets what was measured of an earlier life. */
     void startAfresh(long now, double meanDrop, long firstPatience) {
         drop = meanDrop;
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -80,6 +80,9 @@
     /** Idle connections to an endpoint that left, drains or started anew are of no more use. */
     void outdated(Endpoint endpoint) {
         dropIdle(endpoint, "gone", Long.MAX_VALUE);
+        if (!endpoint.active) {
+            idle.remove(endpoint.id);
+        }
     }
 
     // -------------------------------------------------- connections
--- a/src/main/java/trestlegrade/sidecar/Roster.java
+++ b/src/main/java/trestlegrade/sidecar/Roster.java
@@ -67,24 +67,48 @@
         List<Listed> rows = new ArrayList<>(entries.size());
         for (int i = 0; i < entries.size(); i++) {
             try {
-                rows.add(take(entries.getJsonObject(i)));
+                take(entries.getJsonObject(i), rows);
             } catch (RuntimeException e) {
                 Object entry = entries.getValue(i);
                 log.add(() -> Logger.warn("list code=bad-entry entry={}", entry));
             }
         }
         if (whole) {
-            for (var each : byId) {
-                if (each.value.pass != passes && each.value.active) {
-                    each.value.active = false;
-                    watcher.outdated(each.value);
+            List<Endpoint> absent = new ArrayList<>();
+            for (var each : byId.values()) {
+                if (each.value.pass != passes) {
+                    absent.add(each.value);
                 }
             }
+            absent.forEach(this::remove);
         }
         return rows;
     }
 
-    private Listed take(JsonObject entry) {
+    /** One that has left is forgotten; hops that are out to it keep it until they end. */
+    private void remove(Endpoint endpoint) {
+        byId.remove(endpoint.id);
+        endpoint.active = false;
+        watcher.outdated(endpoint);
+    }
+
+    /** Two cannot listen at one address: the one that started last does, whatever is still said of the other. */
+    private boolean outlives(Endpoint endpoint, List<Listed> rows) {
+        for (var each : byId.values()) {
+            Endpoint other = each.value;
+            if (other != endpoint && other.active && other.address.equals(endpoint.address)) {
+                if (other.launched > endpoint.launched) {
+                    return false;
+                }
+                rows.add(new Listed(other.id, 0, 0, 0, Listed.State.GONE, 0, 0));
+                remove(other);
+                return true;
+            }
+        }
+        return true;
+    }
+
+    private void take(JsonObject entry, List<Listed> rows) {
         String name = entry.getString("name");
         long id = id(name);
         Listed.State state = switch (entry.getString("status", "")) {
@@ -93,12 +117,18 @@
             default -> Listed.State.DRAINING;
         };
         Endpoint endpoint = byId.get(id);
+        if (state == Listed.State.GONE) {
+            rows.add(new Listed(id, 0, 0, 0, state, 0, 0));
+            if (endpoint != null) {
+                remove(endpoint);
+            }
+            return;
+        }
         if (endpoint == null) {
             endpoint = new Endpoint(id, name);
         }
-        long launched = state == Listed.State.GONE ? endpoint.launched : entry.getLong("since_ms", 0L) * 10;
-        SocketAddress address = state == Listed.State.GONE ? endpoint.address
-                : Commission.address("address", entry.getString("address"));
+        long launched = entry.getLong("since_ms", 0L) * 10;
+        SocketAddress address = Commission.address("address", entry.getString("address"));
         Listed row = new Listed(id, index(zones, entry.getString("zone")),
                 index(kinds, entry.getString("type")), entry.getInteger("group", 0), state,
                 entry.getDouble("weight", 1.0), launched);
@@ -108,11 +138,16 @@
         endpoint.launched = launched;
         endpoint.active = state == Listed.State.READY;
         endpoint.pass = passes;
+        if (endpoint.active && !outlives(endpoint, rows)) {
+            rows.add(new Listed(id, 0, 0, 0, Listed.State.GONE, 0, 0));
+            remove(endpoint);
+            return;
+        }
+        rows.add(row);
         byId.put(id, endpoint);
         if (outdated) {
             watcher.outdated(endpoint);
         }
-        return row;
     }
 
     /** The same at every sidecar: two hashes of 32 bits, for one alone may be that of another name. */
@@ -122,10 +157,15 @@
         return crc.getValue() << 31 ^ Integer.toUnsignedLong(name.hashCode());
     }
 
+    private static final int MOST_NAMES = 256;
+
     private static int index(List<String> names, String name) {
         int at = names.indexOf(name);
         if (at < 0) {
-            names.add(name);
+            // However many names an unhappy list brings, the last stands for all that follow.
+            if (names.size() < MOST_NAMES) {
+                names.add(name);
+            }
             at = names.size() - 1;
         }
         return at;
--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -55,6 +55,31 @@
         }
     }
 
+    /** Endpoints that come and go all day: what has left is forgotten, and passes nothing on to who comes next. */
+    @Test
+    void whatHasLeftIsForgotten() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(50_000, 100, Outcome.ERROR, 100);
+        assertTrue(desk.balance.server(100).shut);
+        desk.arrive(0);
+        Desk.Sent out = desk.last();
+        for (int i = 0; i < 1_000; i++) {
+            long old = i == 0 ? out.server() : 200 + i - 1;
+            desk.list(old, State.GONE, 0);
+            desk.traffic(200, -1, null, 0);
+            desk.list(200 + i, State.READY, 0);
+            assertFalse(desk.balance.server(200 + i).shut);
+            assertEquals(0, desk.balance.server(200 + i).failedInRow);
+            // A hop that is still out keeps its server apart until it ends.
+            assertEquals(i < 9, desk.balance.server(out.server()) != null, "generation " + i);
+            assertTrue(desk.balance.server(200 + i).index <= 11, "place " + desk.balance.server(200 + i).index);
+            if (i == 8) {
+                desk.end(out, Outcome.ERROR, 100);
+            }
+        }
+        assertEquals(0, desk.balance.server(1_199).failedInRow);
+    }
+
     /** A journalled transaction that may have run is neither resent past its window nor rolled back. */
     @Test
     void windowCountsFromTheFirstHopThatMayHaveRun() {
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -542,6 +542,34 @@
         assertTrue(first.saw("v"));
     }
 
+    /** At one address only the one that started last can listen, whatever the list still says of the other. */
+    @Test
+    void aNewNameAtAnOldAddressTakesNothingOver() throws Exception {
+        Stub first = endpoint(r -> answer(200, "", "good"));
+        endpoint(r -> answer(200, "", "good"));
+        serve();
+        Client client = client();
+        for (int i = 0; i < 50; i++) {
+            client.ask(transaction("quote", "t" + i, 500));
+        }
+        within(1_000, () -> discovery.seen.size() == 1);
+        assertEquals(0, first.ended.size());
+        discovery.line(list(8, false, entry(0, "active").put("name", "s-new").put("since_ms", 1)));
+        within(1_000, () -> first.ended.size() == first.connections);
+        int before = first.seen.size();
+        for (int i = 0; i < 50; i++) {
+            client.ask(transaction("quote", "u" + i, 500));
+        }
+        assertTrue(first.seen.size() > before + 10);
+        // What is said of the old one later changes nothing for the new one.
+        discovery.line(list(9, false, entry(0, "left"), entry(1, "leaving"), entry(0, "active")));
+        within(1_000, () -> counters().getLong("list_lines") == 2);
+        before = first.seen.size();
+        client.ask(transaction("quote", "v", 500));
+        assertEquals(before + 1, first.seen.size());
+        assertTrue(log().contains("lane code=gone peer=s-0 "), log());
+    }
+
     /** A watch that ends, is refused, is not one, or goes silent is asked for again, from the last version on. */
     @ParameterizedTest
     @ValueSource(strings = {"ends", "refused", "nonsense", "silent"})
