--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -17,7 +17,7 @@
 final class Clients {
 
     /** One connection; {@code reason} says why it ends once this side has decided that. */
-    static final class Connection {
+    final class Connection {
         private final HttpConnection http;
         private final long opened;
         private long used;
@@ -69,6 +69,9 @@
         }
 
         Future<Void> send(HttpServerResponse response, int status, Buffer body, long now) {
+            if (reason == null && open.size() > descriptors.most() / CROWD) {
+                reason = "crowd";
+            }
             ending = reason != null;
             if (ending) {
                 response.putHeader("Connection", "close");
@@ -89,15 +92,18 @@
     private final Clock clock;
     private final Counters counters;
     private final Descriptors descriptors;
+    private final Lateness lateness;
     private final Consumer<Exchange> left;
     // Oldest first.
     private final Map<HttpConnection, Connection> open = new LinkedHashMap<>();
     private boolean keep;
 
-    Clients(Vertx vertx, Clock clock, Counters counters, Descriptors descriptors, Consumer<Exchange> left) {
+    Clients(Vertx vertx, Clock clock, Counters counters, Descriptors descriptors, Lateness lateness,
+            Consumer<Exchange> left) {
         this.clock = clock;
         this.counters = counters;
         this.descriptors = descriptors;
+        this.lateness = lateness;
         this.left = left;
         vertx.setPeriodic(LOOK, t -> look());
     }
@@ -134,6 +140,10 @@
     }
 
     private static final int SPARE = 8;
+    // Above half of the clients' descriptors each connection ends with its answer. Applications hold a third of all
+    // descriptors at most, which is somewhat more than that half: where every transaction came on a connection of
+    // its own that then stayed, they had none left for half of what they had to ask.
+    private static final int CROWD = 2;
 
     /** Ends what has stood too long since its last answer, or in the midst of a transaction. */
     private void look() {
@@ -154,21 +164,21 @@
 
     /**
      * Makes room by ending a connection that has not brought anything yet, or else the one unused for longest.
-     * One used just now may hold the next transaction unread while the loop is late, and to close it lost 204
-     * of them with 0.15 of a core.
+     * One used just now may hold the next transaction unread, the more so while the loop is late (to close such
+     * ones lost 204 with 0.15 of a core); to turn the newcomer away instead lost it and brought it back thrice.
      */
     private boolean closeOneIdle() {
-        long now = clock.now();
+        long before = clock.now() - UNREAD - 2 * lateness.now();
         Connection most = null;
         for (Connection client : open.values()) {
-            if (client.busy() || client.reason != null) {
+            if (client.busy() || client.reason != null || client.used > before) {
                 continue;
             }
-            if (client.carried == 0 && now - client.opened > NEW) {
+            if (client.carried == 0) {
                 most = client;
                 break;
             }
-            if (now - client.used > UNUSED && (most == null || client.used < most.used)) {
+            if (most == null || client.used < most.used) {
                 most = client;
             }
         }
@@ -178,10 +188,8 @@
         return most != null;
     }
 
-    // What a client has sent with its connection has been read by then, on a loop that stalls as below.
-    private static final long NEW = 1_000;
-    // Ten times the longest stall seen with 0.15 of a core.
-    private static final long UNUSED = 10_000;
+    // What a client has sent behind its connect or an answer has been read by then, on a loop that keeps time.
+    private static final long UNREAD = 1_000;
 
     /** No new ones will come: those in use stay as long as this program does. */
     void keep() {
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -98,7 +98,7 @@
         this.commission = commission;
         profiles = numbered(commission.profiles());
         customers = numbered(commission.customers());
-        clients = new Clients(vertx, clock, counters, descriptors, this::left);
+        clients = new Clients(vertx, clock, counters, descriptors, lateness, this::left);
         HttpServerOptions options = new HttpServerOptions().setHost(commission.listen().host())
                 .setPort(commission.listen().port()).setTcpNoDelay(true).setHttp2ClearTextEnabled(false)
                 .setHandle100ContinueAutomatically(true).setAcceptBacklog(BACKLOG);
@@ -120,8 +120,8 @@
 
     /**
      * SIGTERM has come, and the program is killed once the longest hard limit and a little more have passed: all is
-     * served until then as before, for nobody else serves these clients. Late enough that the last transactions can
-     * still be done in their goal the listener ends, idle connections are closed, and each other one with its next
+     * served until then as before, for nobody else serves these clients. Late enough that the last transactions have
+     * half of their goal the listener ends, idle connections are closed, and each other one with its next
      * answer. Returns the milliseconds until all is answered.
      */
     long leave() {
@@ -129,7 +129,7 @@
         clients.keep();
         long answered = commission.longestLimit() + GRACE;
         lastAnswer = clock.now() + answered * 10;
-        vertx.setTimer(Math.max(LINGER, answered - commission.longestGoal()), t -> {
+        vertx.setTimer(Math.max(LINGER, answered - commission.longestGoal() / 2), t -> {
             closing = true;
             server.shutdown(commission.longestLimit(), TimeUnit.MILLISECONDS);
             clients.leave();
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -76,8 +76,9 @@
         }
     }
 
+    /** At the end of its transaction it has timed out, whichever comes first, this or its timer. */
     void callOff(Hop hop) {
-        settle(hop, Outcome.CALLED_OFF);
+        settle(hop, clock.now() < hop.exchange.end ? Outcome.CALLED_OFF : Outcome.TIMED_OUT);
     }
 
     /** Idle connections to an endpoint that left, drains or started anew are of no more use. */
