--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -4,7 +4,10 @@
 import com.carrotsearch.hppc.LongObjectHashMap;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 import trestlegrade.Tx.Hop;
 
 /**
@@ -98,15 +101,22 @@
                 server.startAfresh(now, meanDrop(), FIRST_TRIAL);
             }
             server.ready = row.state() == Listed.State.READY;
+            server.used &= server.ready;
             server.zone = row.zone();
             server.kind = row.kind();
             if (row.kind() >= kindAnswers.length) {
                 kindSlowness = new double[row.kind() + 1];
                 kindAnswers = new double[row.kind() + 1];
+                kindSize = Arrays.copyOf(kindSize, row.kind() + 1);
             }
             server.cell = row.cell();
             server.launched = row.launched();
-            server.weight = terms.sizedWeights() && row.weight() > 0 ? row.weight() : 1;
+            server.weight = terms.weights() != Terms.Weights.NONE && row.weight() > 0 ? row.weight() : 1;
+            kindSize[row.kind()] = Math.max(kindSize[row.kind()], server.weight);
+        }
+        if (terms.weights() == Terms.Weights.LIVE) {
+            // Lowered by what a server holds, a weight is no size: the most that its kind ever showed is.
+            servers.forEach(server -> server.weight = kindSize[server.kind]);
         }
         ringStale = true;
         retryWaiting(now);
@@ -172,6 +182,9 @@
         }
     }
 
+    /** The load report that came with an answer of this endpoint; empty if none did. */
+    public void reported(long now, long endpoint, double[] report) { }
+
     public void clientLeft(long now, long id) {
         Tx tx = txById.get(id);
         if (tx != null) {
@@ -366,21 +379,28 @@
             }
             if (!tx.done) {
                 open.set(kept++, tx);
-                if (tx.out == 1 && terms.secondCopies() && tx.hops.size() < terms.maxHops()) {
-                    copyIfLost(now, tx);
+                if (tx.out == 1 && tx.hops.size() < terms.maxHops()) {
+                    replaceIfLost(now, tx);
                 }
             }
         }
         open.subList(kept, open.size()).clear();
     }
 
-    private void copyIfLost(long now, Tx tx) {
+    /** A hop to a server that was shut out since gets a copy or, where copies are barred, is called off first. */
+    private void replaceIfLost(long now, Tx tx) {
         if (terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT || tx.streaming) {
             return;
         }
         Hop last = tx.hops.get(tx.hops.size() - 1);
         if (last.server.shut && now - last.sent > last.expected && hopTokens >= 1
                 && tx.end - now > expected(tx)) {
+            if (!terms.secondCopies()) {
+                if (terms.cancelling()) {
+                    outlet.callOff(tx.id, tx.hops.size() - 1);
+                }
+                return;
+            }
             Server server = pick(now, tx);
             if (server != null) {
                 hopTokens--;
@@ -448,6 +468,9 @@
                     : beats * Math.max(-1, wait / bound - 1));
             callDrop[i] = Math.max(0, Math.min(1, callDrop[i] + step));
         }
+        double step = wait > HOME_WAIT * Math.max(usualGoal * LEAST_RANK, 1.5 * bare) ? ABROAD_STEP
+                : -ABROAD_STEP * beats;
+        abroad = terms.crossFee() < HOME_FEE ? 1 : Math.max(0, Math.min(1, abroad + step));
     }
 
     private boolean overShare(long now, Tx tx) {
@@ -552,11 +575,12 @@
     /** The design's points for each server in use, by its weight. */
     private void layRing() {
         ringStale = false;
+        chooseUsed();
         readyCount = 0;
         readyWeight = 0;
         for (Server server : servers) {
-            readyCount += server.ready ? 1 : 0;
-            readyWeight += server.ready ? server.weight : 0;
+            readyCount += server.used ? 1 : 0;
+            readyWeight += server.used ? server.weight : 0;
         }
         double mean = readyWeight / Math.max(1, readyCount);
         // The mean stands until it is a quarter off, so that one more server leaves the others' points alone.
@@ -565,12 +589,43 @@
         }
         for (Server server : servers) {
             double points = Math.min(Ring.MOST_POINTS, POINTS * server.weight / meanWeight);
-            server.points = server.ready ? (int) Math.max(1, Math.round(points)) : 0;
+            server.points = server.used ? (int) Math.max(1, Math.round(points)) : 0;
         }
         ring.lay(servers, chance);
+        long ready = servers.stream().filter(server -> server.ready).count();
+        users = (double) terms.sidecars() * readyCount / Math.max(1, ready);
         weigh(lastBeat);
     }
 
+    /**
+     * All that are ready; where open connections cost, a window of each zone's only. Windows begin evenly
+     * spread over the servers in an order that is the same at every sidecar, so each server is in as many.
+     */
+    private void chooseUsed() {
+        servers.forEach(server -> server.used = server.ready);
+        Map<Integer, List<Server>> zones = servers.stream().filter(server -> server.ready)
+                .sorted(Comparator.comparingLong(server -> chance.position(server.id, -3)))
+                .collect(Collectors.groupingBy(server -> server.zone));
+        if (terms.connectionFee() == 0) {
+            return;
+        }
+        for (List<Server> zone : zones.values()) {
+            int n = zone.size();
+            int first = (int) (terms.number() * GOLDEN % 1 * n);
+            long window = Math.round(Math.max(LEAST_WINDOW, CONNECTIONS * n * zones.size() / terms.sidecars()));
+            for (long i = window; i < n; i++) {
+                zone.get((int) ((first + i) % n)).used = false;
+            }
+        }
+    }
+
+    // Multiples of the golden ratio spread evenly whichever numbers a zone's sidecars have.
+    private static final double GOLDEN = 0.6180339887498949;
+    // The fee is due in full at a hundred connections a server: half of that.
+    private static final double CONNECTIONS = 50;
+    // With fewer the loss of one would be more than a third.
+    private static final double LEAST_WINDOW = 4;
+
     private double meanWeight;
     private long picks;
     // The design's points for a healthy server of mean weight.
@@ -592,6 +647,7 @@
             start = ring.from(tx.position);
             keyed = true;
         }
+        boolean athome = chance.next() >= abroad;
         double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always
         // hold.
@@ -613,7 +669,7 @@
                 }
                 server.refusedPick = picks;
                 asked++;
-                if (server.shut && strict > 0
+                if (server.shut && strict > 0 || strict > 1 && athome && server.zone != terms.zone()
                         || strict > 3 && (server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5)
                         || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
                         || strict > 2 && server.failing(now, tx.profile) > FAILING_SHARE
@@ -629,6 +685,13 @@
         return null;
     }
 
+    // A crossing that costs less than a twentieth of a transaction is not worth crowding the own zone for.
+    private static final double HOME_FEE = 0.05;
+    private static final double HOME_WAIT = 0.75;
+    private static final double ABROAD_STEP = 0.01;
+    /** The part of the picks that need not stay in the own zone. */
+    private double abroad;
+
     // A key's server is preferred only while it has no more than its even part of what is in flight, for hot
     // keys crowd servers else, and not once it has been graded down by half. Once the wait nears what is
     // permitted at the least (0.15 of 0.2 of the service goal), every pick keeps to that part.
@@ -674,6 +737,8 @@
     private final long[] keyAt = new long[2048];
     private long arrived;
     private int readyCount;
+    /** How many sidecars send to a server. */
+    private double users;
 
     // -------------------------------------------------- rule 4: the cold budget
 
@@ -705,7 +770,7 @@
         }
         // However little is known, a hop now and then: at most one core's cold share if every sidecar does
         // the same.
-        long apart = (long) (terms.sidecars() * bare / (terms.coldFrom() * terms.fallMultiple()));
+        long apart = (long) (users * bare / (terms.coldFrom() * terms.fallMultiple()));
         return server.sentLately.total(now) + cost(tx) <= budget
                 || now - server.lastSent > Math.max(apart, terms.fallSpan());
     }
@@ -815,7 +880,7 @@
         for (Server server : servers) {
             server.answersNow = server.answers.total(now, span);
             server.slownessNow = server.slowness.total(now, span);
-            if (server.ready) {
+            if (server.used) {
                 kindSlowness[server.kind] += server.slownessNow;
                 kindAnswers[server.kind] += server.answersNow;
                 slowness += server.slownessNow;
@@ -829,7 +894,7 @@
             int k = server.kind;
             double kind = (kindSlowness[k] + FEW_CALLS * mean) / (kindAnswers[k] + FEW_CALLS);
             server.mean = (server.slownessNow + FEW_CALLS * kind) / (server.answersNow + FEW_CALLS);
-            if (server.ready && n < means.length) {
+            if (server.used && n < means.length) {
                 means[n++] = server.mean;
             }
         }
@@ -853,6 +918,7 @@
     private final Buckets answered = new Buckets(LONGEST_SPAN, 25);
     private double[] kindSlowness = new double[1];
     private double[] kindAnswers = new double[1];
+    private double[] kindSize = new double[1];
 
     private static final long GRADE_EVERY = 10_000;
     private static final double GRADE_STEP = 0.05;
@@ -910,7 +976,7 @@
         steadyWeight = 0;
         shutServers = 0;
         for (Server server : servers) {
-            steadyWeight += server.ready && steady(now, server) ? server.weight : 0;
+            steadyWeight += server.used && steady(now, server) ? server.weight : 0;
             shutServers += server.shut ? 1 : 0;
         }
     }
@@ -935,7 +1001,7 @@
     private void shut(long now, Server server, int trials) {
         double left = 0;
         for (Server each : servers) {
-            left += each.ready && !each.shut && each != server ? each.weight : 0;
+            left += each.used && !each.shut && each != server ? each.weight : 0;
         }
         if (left < readyWeight / 3) {
             return;
@@ -975,7 +1041,7 @@
             return null;
         }
         for (Server server : servers) {
-            if (server.shut && server.ready && server.trialsOut == 0 && now >= server.tryAt
+            if (server.shut && server.used && server.trialsOut == 0 && now >= server.tryAt
                     && mayTakeCold(now, tx, server, 0)) {
                 return server;
             }
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -14,6 +14,8 @@
     long launched;
     boolean ready;
     boolean gone;
+    /** Whether this sidecar sends to it at all. */
+    boolean used;
     /** Points on the ring when healthy. */
     int points;
     int laid;
@@ -64,6 +66,7 @@
 
     void leave() {
         ready = false;
+        used = false;
         gone = true;
     }
 
--- a/src/main/java/trestlegrade/Terms.java
+++ b/src/main/java/trestlegrade/Terms.java
@@ -9,9 +9,13 @@
 public record Terms(
         List<Profile> profiles, List<Customer> customers, int sidecars,
         int maxHops, boolean secondCopies, boolean cancelling, boolean pauses, long longestPause,
-        boolean listOnRequest, long askWithin, boolean sizedWeights, boolean warmKeys,
+        boolean listOnRequest, long askWithin, Weights weights, boolean warmKeys,
+        int zone, int number, double crossFee, double connectionFee, int queueField,
         double coldFrom, long coldFor, double fallMultiple, long fallSpan) {
 
+    /** What the list's weights tell: nothing, a size, or a size lowered by what an endpoint holds. */
+    public enum Weights { NONE, SIZE, LIVE }
+
     /** What a repeat of a transaction may do. */
     public enum Repeat { IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT }
 
--- a/src/main/java/trestlegrade/TermsReader.java
+++ b/src/main/java/trestlegrade/TermsReader.java
@@ -8,6 +8,7 @@
 import trestlegrade.Terms.Group;
 import trestlegrade.Terms.Profile;
 import trestlegrade.Terms.Repeat;
+import trestlegrade.Terms.Weights;
 
 /** Reads terms from the settings handed over at a start, as values by path: {@code profiles.0.effect}. */
 public final class TermsReader {
@@ -49,11 +50,30 @@
                 flag("ceilings.cancelling"), flag("ceilings.retry_after"),
                 time("ceilings.max_retry_after", 0.0),
                 choice("membership_mode", "pushed").equals("on_request"), time("safety.ask_within", 10_000.0),
-                !choice("weights", "off").equals("off"), flag("family_info.warm_keys"),
+                weights(), flag("family_info.warm_keys"),
+                (int) number("zone", 0.0), (int) number("my_number", 0.0),
+                number("fees.cross_zone", 0.0), number("fees.connection", 0.0), queueField(),
                 number("safety.cold_from", null), time("safety.cold", null),
                 number("safety.fall_multiple", null), time("safety.fall", null));
     }
 
+    private Weights weights() {
+        return switch (choice("weights", "off")) {
+            case "off" -> Weights.NONE;
+            case "nominal", "rough" -> Weights.SIZE;
+            case "live" -> Weights.LIVE;
+            default -> throw bad("weights", "unknown value");
+        };
+    }
+
+    /** Where the number of transactions waiting stands in the reports that come with answers, or -1. */
+    private int queueField() {
+        if (!choice("report.how", "off").equals("inline")) {
+            return -1;
+        }
+        return List.of(choice("report.fields", "").split(",")).indexOf("q");
+    }
+
     private Profile profile(String at) {
         Repeat repeat = switch (choice(at + "effect", null)) {
             case "repeatable" -> Repeat.IDEMPOTENT;
--- a/src/main/java/trestlegrade/benchlink/Link.java
+++ b/src/main/java/trestlegrade/benchlink/Link.java
@@ -187,19 +187,28 @@
     private void ended(Balance instance, long now) throws MalformedFrame {
         long tx = u32();
         int hop = Byte.toUnsignedInt(batch.get());
-        skip(4);
+        long endpoint = u32();
         int status = batch.get();
         double took = batch.getDouble();
         boolean finished = batch.get() != 0;
-        skip(4 * Byte.toUnsignedInt(batch.get()));
+        double[] report = report();
         if (status < 10 || status > 80 || status % 10 != 0) {
             throw new MalformedFrame("a hop of unknown outcome " + status);
         }
         if (instance != null) {
+            instance.reported(now, endpoint, report);
             instance.hopEnded(now, tx, hop, Outcome.values()[status / 10 - 1], tenths(took), finished);
         }
     }
 
+    private double[] report() {
+        double[] report = new double[Byte.toUnsignedInt(batch.get())];
+        for (int i = 0; i < report.length; i++) {
+            report[i] = batch.getFloat();
+        }
+        return report;
+    }
+
     private void list() throws MalformedFrame {
         int ref = batch.getInt();
         int count = batch.getInt();
