--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -65,6 +65,7 @@
         for (int i = 0; i < customerArrivals.length; i++) {
             customerArrivals[i] = new Buckets(50_000, 5);
         }
+        abroad = terms.crossFee() < HOME_FEE ? 1 : 0;
         rankRevenue();
     }
 
@@ -111,12 +112,17 @@
             }
             server.cell = row.cell();
             server.launched = row.launched();
-            server.weight = terms.weights() != Terms.Weights.NONE && row.weight() > 0 ? row.weight() : 1;
-            kindSize[row.kind()] = Math.max(kindSize[row.kind()], server.weight);
+            server.shown = terms.weights() != Terms.Weights.NONE && row.weight() > 0 ? row.weight() : 1;
+            server.weight = server.shown;
+            kindSize[row.kind()] = Math.max(kindSize[row.kind()], server.shown);
         }
         if (terms.weights() == Terms.Weights.LIVE) {
             // Lowered by what a server holds, a weight is no size: the most that its kind ever showed is.
-            servers.forEach(server -> server.weight = kindSize[server.kind]);
+            for (Server server : servers) {
+                server.weight = kindSize[server.kind];
+                server.told = server.weight / server.shown - 1;
+                server.toldAt = now;
+            }
         }
         ringStale = true;
         retryWaiting(now);
@@ -183,7 +189,15 @@
     }
 
     /** The load report that came with an answer of this endpoint; empty if none did. */
-    public void reported(long now, long endpoint, double[] report) { }
+    public void reported(long now, long endpoint, double[] report) {
+        Server server = server(endpoint);
+        if (server != null && TOLD_BY_ANSWERS && report.length > terms.queueField() && terms.queueField() >= 0
+                && terms.weights() != Terms.Weights.LIVE) {
+            server.told = Math.max(0, report[terms.queueField()]);
+            server.toldAt = now;
+        }
+    }
+
 
     public void clientLeft(long now, long id) {
         Tx tx = txById.get(id);
@@ -468,9 +482,10 @@
                     : beats * Math.max(-1, wait / bound - 1));
             callDrop[i] = Math.max(0, Math.min(1, callDrop[i] + step));
         }
-        double step = wait > HOME_WAIT * Math.max(usualGoal * LEAST_RANK, 1.5 * bare) ? ABROAD_STEP
-                : -ABROAD_STEP * beats;
-        abroad = terms.crossFee() < HOME_FEE ? 1 : Math.max(0, Math.min(1, abroad + step));
+        if (terms.crossFee() >= HOME_FEE) {
+            boolean crowded = wait > HOME_WAIT * Math.max(usualGoal * LEAST_RANK, 1.5 * bare);
+            abroad = Math.max(0, Math.min(1, abroad + (crowded ? ABROAD_STEP : -ABROAD_STEP * beats)));
+        }
     }
 
     private boolean overShare(long now, Tx tx) {
@@ -505,7 +520,8 @@
         rank = new double[n];
         double most = terms.profiles().stream().mapToDouble(Terms.Profile::revenue).max().orElse(1);
         for (int i = 0; i < n; i++) {
-            rank[i] = LEAST_RANK + 0.2 * terms.profiles().get(i).revenue() / Math.max(most, 1e-9);
+            rank[i] = LEAST_RANK + 0.2 * Math.max(terms.evenness(), terms.profiles().get(i).revenue()
+                    / Math.max(most, 1e-9));
         }
     }
 
@@ -647,7 +663,7 @@
             start = ring.from(tx.position);
             keyed = true;
         }
-        boolean athome = chance.next() >= abroad;
+        boolean athome = abroad < 1 && chance.next() >= abroad;
         double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always
         // hold.
@@ -670,7 +686,8 @@
                 server.refusedPick = picks;
                 asked++;
                 if (server.shut && strict > 0 || strict > 1 && athome && server.zone != terms.zone()
-                        || strict > 3 && (server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5)
+                        || strict > 3 && (server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5
+                        || server.told(now) > TOLD_CROWDED * (meanTold + 1))
                         || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
                         || strict > 2 && server.failing(now, tx.profile) > FAILING_SHARE
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
@@ -697,6 +714,9 @@
     // permitted at the least (0.15 of 0.2 of the service goal), every pick keeps to that part.
     private static final double MUCH_DOWN = 0.5;
     private static final double CROWDED = 0.15;
+    private static final double TOLD_CROWDED = 1.5;
+    private double meanTold;
+    private static final boolean TOLD_BY_ANSWERS = false;
 
     /** Warm and not shut out: what the wait and the mean in flight are measured on. */
     private boolean steady(long now, Server server) {
@@ -975,10 +995,13 @@
     private void weigh(long now) {
         steadyWeight = 0;
         shutServers = 0;
+        double told = 0;
         for (Server server : servers) {
             steadyWeight += server.used && steady(now, server) ? server.weight : 0;
             shutServers += server.shut ? 1 : 0;
+            told += server.used ? server.told(now) : 0;
         }
+        meanTold = told / Math.max(1, readyCount);
     }
 
     // Servers with hops out at the last beat.
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -11,6 +11,11 @@
     int cell;
     int kind;
     double weight = 1;
+    /** The weight as it was listed. */
+    double shown = 1;
+    /** How many transactions it was last told to hold, by the list or an answer. */
+    double told;
+    long toldAt;
     long launched;
     boolean ready;
     boolean gone;
@@ -99,10 +104,18 @@
     // Halved in 5 s, the design's span: one that goes on failing is asked for that profile every four seconds.
     private static final double PROFILE_MEMORY = 50_000;
 
+    /** What was told of its load; half as much for each second since. */
+    double told(long now) {
+        return told * Math.pow(0.5, (now - toldAt) / TOLD_MEMORY);
+    }
+
+    private static final double TOLD_MEMORY = 10_000;
+
     /** Forgets what was measured of an earlier life. */
     void startAfresh(long now, double meanDrop, long firstPatience) {
         drop = meanDrop;
         pace = 1;
+        told = 0;
         shut = false;
         patience = firstPatience;
         failedInRow = 0;
--- a/src/main/java/trestlegrade/TermsReader.java
+++ b/src/main/java/trestlegrade/TermsReader.java
@@ -53,6 +53,7 @@
                 weights(), flag("family_info.warm_keys"),
                 (int) number("zone", 0.0), (int) number("my_number", 0.0),
                 number("fees.cross_zone", 0.0), number("fees.connection", 0.0), queueField(),
+                Math.min(1, number("goal.worst_class", 0.0) / Math.max(1e-9, number("goal.whole", 1.0))),
                 number("safety.cold_from", null), time("safety.cold", null),
                 number("safety.fall_multiple", null), time("safety.fall", null));
     }
