--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -447,7 +447,7 @@
             if ((committed || hop.outcome == Outcome.TIMED_OUT || hop.outcome == Outcome.CALLED_OFF)
                     && steady(now, hop.server)) {
                 commits.add(now, committed ? 1 : 0);
-                commitTook.add(now, took);
+                commitTook.add(now, Math.min(took, LONGEST_WAIT * hop.expected));
             }
         }
     }
@@ -495,6 +495,8 @@
 
     // Fewer commits than this tell a jam from chance no better than by a third.
     private static final int ENOUGH = 10;
+    // With heavy tails one hop in a hundred takes ten times as long as others, and a second's mean goes by it.
+    private static final double LONGEST_WAIT = 3;
     // Per beat: a wait of twice what is permitted drops all calls after a fifth of a second, about one hop's
     // time.
     private static final double DROP_STEP = 0.05;
@@ -593,9 +595,11 @@
         ringStale = false;
         chooseUsed();
         readyCount = 0;
+        homeCount = 0;
         readyWeight = 0;
         for (Server server : servers) {
             readyCount += server.used ? 1 : 0;
+            homeCount += server.used && server.zone == terms.zone() ? 1 : 0;
             readyWeight += server.used ? server.weight : 0;
         }
         double mean = readyWeight / Math.max(1, readyCount);
@@ -740,7 +744,7 @@
         keyIn[slot] = key;
         keyCount[slot] = before + 1;
         keyAt[slot] = arrived;
-        int ready = Math.max(1, readyCount);
+        int ready = Math.max(1, (int) Math.round(homeCount + abroad * (readyCount - homeCount)));
         double seen = KEY_MEMORY / Math.log(2) * (1 - Math.pow(0.5, arrived / KEY_MEMORY));
         // Half a sighting more, and half as many transactions as servers: what is unknown is spread at first.
         double share = (before + 0.5) / (seen + ready / 2.0);
@@ -757,6 +761,7 @@
     private final long[] keyAt = new long[2048];
     private long arrived;
     private int readyCount;
+    private int homeCount;
     /** How many sidecars send to a server. */
     private double users;
 
@@ -972,7 +977,7 @@
                     }
                     long unheard = now - Math.max(hop.sent, server.lastAnswer);
                     server.silence += unheard / Math.max(hop.expected * Math.max(1, server.pace), latest);
-                    server.ages += now - hop.sent;
+                    server.ages += (long) Math.min(now - hop.sent, LONGEST_WAIT * hop.expected);
                     server.heardOf++;
                 }
             }
