--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -708,7 +708,7 @@
 
     // A crossing that costs less than a twentieth of a transaction is not worth crowding the own zone for.
     private static final double HOME_FEE = 0.05;
-    private static final double HOME_WAIT = 0.75;
+    private static final double HOME_WAIT = 2;
     private static final double ABROAD_STEP = 0.01;
     /** The part of the picks that need not stay in the own zone. */
     private double abroad;
