--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -121,7 +121,7 @@
             // Lowered by what a server holds, a weight is no size: the most that its kind ever showed is.
             for (Server server : servers) {
                 server.weight = kindSize[server.kind];
-                server.told.set(now, server.weight / server.shown - 1);
+                server.told.set(now, Math.max(server.told.at(now), server.weight / server.shown - 1));
             }
         }
         ringStale = true;
