--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -45,7 +45,6 @@
     private boolean ringStale;
     private double readyWeight;
     private double steadyWeight;
-    private double homeWeight;
 
     public Balance(Terms terms, long seed, Outlet outlet) {
         this.terms = terms;
@@ -188,16 +187,6 @@
         }
     }
 
-    /** The load report that came with an answer of this endpoint; empty if none did. */
-    public void reported(long now, long endpoint, double[] report) {
-        Server server = server(endpoint);
-        if (server != null && TOLD_BY_ANSWERS && report.length > terms.queueField() && terms.queueField() >= 0
-                && terms.weights() != Terms.Weights.LIVE) {
-            server.told.set(now, Math.max(0, report[terms.queueField()]));
-        }
-    }
-
-
     public void clientLeft(long now, long id) {
         Tx tx = txById.get(id);
         if (tx != null) {
@@ -584,8 +573,6 @@
         server.out++;
         openOut += steady(now, server) ? 1 : 0;
         server.sentLately.add(now, cost(tx));
-        server.sent.add(now, 1);
-        sent.add(now, 1);
         server.lastSent = now;
         server.trialsOut += trial ? 1 : 0;
         outlet.send(tx.id, server.id, tx.end - now);
@@ -669,7 +656,6 @@
             keyed = true;
         }
         boolean athome = abroad < 1 && chance.next() >= abroad;
-        double evenSent = SENT_CROWDED * sent.at(now) / Math.max(1e-9, homeWeight + abroad * (steadyWeight - homeWeight));
         double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
         // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always
         // hold.
@@ -693,8 +679,7 @@
                 asked++;
                 if (server.shut && strict > 0 || strict > 1 && athome && server.zone != terms.zone()
                         || strict > 3 && (server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5
-                        || server.told.at(now) > TOLD_CROWDED * (meanTold + 1)
-                        || server.sent.at(now) > evenSent * server.weight + SENT_SLACK)
+                        || server.told.at(now) > TOLD_CROWDED * (meanTold + 1))
                         || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
                         || strict > 2 && server.failing(now, tx.profile) > FAILING_SHARE
                         || strict > 1 && server.out > 2 * mean * server.weight + 2
@@ -723,10 +708,6 @@
     private static final double CROWDED = 0.15;
     private static final double TOLD_CROWDED = 1.5;
     private double meanTold;
-    private static final double SENT_CROWDED = 1.3;
-    private static final double SENT_SLACK = 2;
-    private final Fading sent = new Fading(Server.SENT_MEMORY);
-    private static final boolean TOLD_BY_ANSWERS = false;
 
     /** Warm and not shut out: what the wait and the mean in flight are measured on. */
     private boolean steady(long now, Server server) {
@@ -1005,12 +986,10 @@
     /** The weight of the servers that are warm and in use. */
     private void weigh(long now) {
         steadyWeight = 0;
-        homeWeight = 0;
         shutServers = 0;
         double told = 0;
         for (Server server : servers) {
             steadyWeight += server.used && steady(now, server) ? server.weight : 0;
-            homeWeight += server.used && steady(now, server) && server.zone == terms.zone() ? server.weight : 0;
             shutServers += server.shut ? 1 : 0;
             told += server.used ? server.told.at(now) : 0;
         }
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -15,9 +15,6 @@
     double shown = 1;
     /** How many transactions it was last told to hold, by the list or an answer. */
     final Fading told = new Fading(30_000);
-    /** Hops sent to it. */
-    final Fading sent = new Fading(SENT_MEMORY);
-    static final double SENT_MEMORY = 70_000;
     long launched;
     boolean ready;
     boolean gone;
--- a/src/main/java/trestlegrade/Terms.java
+++ b/src/main/java/trestlegrade/Terms.java
@@ -10,7 +10,7 @@
         List<Profile> profiles, List<Customer> customers, int sidecars,
         int maxHops, boolean secondCopies, boolean cancelling, boolean pauses, long longestPause,
         boolean listOnRequest, long askWithin, Weights weights, boolean warmKeys,
-        int zone, int number, double crossFee, double connectionFee, int queueField, double evenness,
+        int zone, int number, double crossFee, double connectionFee, double evenness,
         double coldFrom, long coldFor, double fallMultiple, long fallSpan) {
 
     /** What the list's weights tell: nothing, a size, or a size lowered by what an endpoint holds. */
--- a/src/main/java/trestlegrade/TermsReader.java
+++ b/src/main/java/trestlegrade/TermsReader.java
@@ -52,7 +52,7 @@
                 choice("membership_mode", "pushed").equals("on_request"), time("safety.ask_within", 10_000.0),
                 weights(), flag("family_info.warm_keys"),
                 (int) number("zone", 0.0), (int) number("my_number", 0.0),
-                number("fees.cross_zone", 0.0), number("fees.connection", 0.0), queueField(),
+                number("fees.cross_zone", 0.0), number("fees.connection", 0.0),
                 Math.min(1, number("goal.worst_class", 0.0) / Math.max(1e-9, number("goal.whole", 1.0))),
                 number("safety.cold_from", null), time("safety.cold", null),
                 number("safety.fall_multiple", null), time("safety.fall", null));
@@ -67,14 +67,6 @@
         };
     }
 
-    /** Where the number of transactions waiting stands in the reports that come with answers, or -1. */
-    private int queueField() {
-        if (!choice("report.how", "off").equals("inline")) {
-            return -1;
-        }
-        return List.of(choice("report.fields", "").split(",")).indexOf("q");
-    }
-
     private Profile profile(String at) {
         Repeat repeat = switch (choice(at + "effect", null)) {
             case "repeatable" -> Repeat.IDEMPOTENT;
--- a/src/main/java/trestlegrade/benchlink/Link.java
+++ b/src/main/java/trestlegrade/benchlink/Link.java
@@ -187,28 +187,19 @@
     private void ended(Balance instance, long now) throws MalformedFrame {
         long tx = u32();
         int hop = Byte.toUnsignedInt(batch.get());
-        long endpoint = u32();
+        skip(4);
         int status = batch.get();
         double took = batch.getDouble();
         boolean finished = batch.get() != 0;
-        double[] report = report();
+        skip(4 * Byte.toUnsignedInt(batch.get()));
         if (status < 10 || status > 80 || status % 10 != 0) {
             throw new MalformedFrame("a hop of unknown outcome " + status);
         }
         if (instance != null) {
-            instance.reported(now, endpoint, report);
             instance.hopEnded(now, tx, hop, Outcome.values()[status / 10 - 1], tenths(took), finished);
         }
     }
 
-    private double[] report() {
-        double[] report = new double[Byte.toUnsignedInt(batch.get())];
-        for (int i = 0; i < report.length; i++) {
-            report[i] = batch.getFloat();
-        }
-        return report;
-    }
-
     private void list() throws MalformedFrame {
         int ref = batch.getInt();
         int count = batch.getInt();
--- a/src/test/java/trestlegrade/Desk.java
+++ b/src/test/java/trestlegrade/Desk.java
@@ -33,7 +33,7 @@
             profiles.add(new Profile(5_000, 10_000, 1 + repeat.ordinal(), repeat, group, 20_000));
         }
         balance = new Balance(new Terms(profiles, List.of(), 4, maxHops, secondCopies, true, true, 10_000,
-                true, 100_000, Terms.Weights.SIZE, false, 0, 0, 0, 0, -1, 0, 0.2, 200_000, 3, 10_000), 7, this);
+                true, 100_000, Terms.Weights.SIZE, false, 0, 0, 0, 0, 0, 0.2, 200_000, 3, 10_000), 7, this);
         balance.start(now);
     }
 
