--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -21,8 +21,8 @@
  * ring; a pick takes a random ring position and the next point (docs/design.md). Beside the design stand:
  * <ol>
  * <li>cold budget: a server that has just started gets a bounded amount of work (rule 4);
- * <li>shutting out: a server that falls silent or fails (in a row, or one profile) is left and tried with care;
- * <li>further hops and copies of lost hops, within a budget;
+ * <li>shutting out: a server that falls silent or fails (in a row, one profile) is left, tried with care;
+ * <li>further hops within a budget, also for lost hops once they are called off;
  * <li>early rollback when the wait already spoils the service goal;
  * <li>warm keys: where servers remember keys, the ring position comes from the key instead of from chance.
  * </ol>
@@ -101,27 +101,13 @@
             if (fresh || row.launched() > server.launched) {
                 server.startAfresh(now, meanDrop(), FIRST_TRIAL);
             }
-            server.ready = row.state() == Listed.State.READY;
-            server.used &= server.ready;
-            server.zone = row.zone();
-            server.kind = row.kind();
-            if (row.kind() >= kindAnswers.length) {
-                kindSlowness = new double[row.kind() + 1];
-                kindAnswers = new double[row.kind() + 1];
-                kindSize = Arrays.copyOf(kindSize, row.kind() + 1);
+            while (row.kind() >= kinds.size()) {
+                kinds.add(new Server.Kind());
             }
-            server.cell = row.cell();
-            server.launched = row.launched();
-            server.shown = terms.weights() != Terms.Weights.NONE && row.weight() > 0 ? row.weight() : 1;
-            server.weight = server.shown;
-            kindSize[row.kind()] = Math.max(kindSize[row.kind()], server.shown);
+            server.listed(row, kinds.get(row.kind()), terms.weights() != Terms.Weights.NONE);
         }
         if (terms.weights() == Terms.Weights.LIVE) {
-            // Lowered by what a server holds, a weight is no size: the most that its kind ever showed is.
-            for (Server server : servers) {
-                server.weight = kindSize[server.kind];
-                server.told.set(now, Math.max(server.told.at(now), server.weight / server.shown - 1));
-            }
+            servers.forEach(server -> server.shownBusy(now));
         }
         ringStale = true;
         retryWaiting(now);
@@ -152,7 +138,7 @@
     public void arrived(long now, long id, int profile, int customer, long key, long patience, long cost) {
         int known = customer >= 0 && customer < customerArrivals.length ? customer : 0;
         Tx tx = new Tx(id, profile, known, now, now + patience, cost);
-        arrived++;
+        keyShares.arrived();
         tx.position = terms.warmKeys() && key != 0 ? keyPosition(key) : -1;
         txById.put(id, tx);
         open.add(tx);
@@ -241,15 +227,10 @@
 
     // -------------------------------------------------- the chain
 
-    private static final int ON = 0;
-    private static final int KEPT = 1;
-    private static final int ENDED = 2;
-
-    /**
-     * One stage of the chain every transaction passes, for each hop anew; ends of hops come back through it.
-     */
+    /** One stage of the chain every transaction passes, for each hop anew; ends come back through it. */
     private interface Stage {
-        int pass(long now, Tx tx);
+        /** Whether it goes on to the next stage. */
+        boolean pass(long now, Tx tx);
 
         default void back(long now, Tx tx, Hop hop, long took) { }
     }
@@ -258,7 +239,7 @@
 
     private void forward(long now, Tx tx, int from) {
         for (int i = from; i < chain.length; i++) {
-            if (chain[i].pass(now, tx) != ON) {
+            if (!chain[i].pass(now, tx)) {
                 return;
             }
         }
@@ -274,7 +255,7 @@
 
     /** Rule 2. Whether the transaction may be sent (again) to this server. */
     private boolean maySend(long now, Tx tx, Server server) {
-        if (tx.done || tx.hops.size() >= terms.maxHops() || tx.out > 0 && !terms.secondCopies()) {
+        if (tx.done || tx.hops.size() >= terms.maxHops() || tx.out > 0) {
             return false;
         }
         Terms.Profile profile = terms.profiles().get(tx.profile);
@@ -301,9 +282,6 @@
 
     /** The final answer when nothing more is tried: at once, so that the client can turn elsewhere. */
     private void giveUp(Tx tx, long pause) {
-        if (tx.done) {
-            return;
-        }
         if (mayRollBack(tx)) {
             outlet.rollBack(tx.id, terms.pauses() ? Math.min(pause, terms.longestPause()) : 0);
         } else {
@@ -330,28 +308,24 @@
     /** Rule 1. First in, last back: sees that each transaction is still worth a hop, or ends it. */
     private final class Leave implements Stage {
         @Override
-        public int pass(long now, Tx tx) {
+        public boolean pass(long now, Tx tx) {
             if (tx.done) {
-                return ENDED;
+                return false;
             }
-            boolean further = !tx.hops.isEmpty();
             // A further hop only if the time left exceeds the time it is expected to take.
-            boolean spared = further && (tx.end - now <= expected(tx) || costly(tx) && hopTokens < 1);
-            if (now >= tx.end || spared) {
-                if (tx.out == 0) {
-                    giveUp(tx, 0);
-                }
-                return ENDED;
+            boolean worth = tx.hops.isEmpty() ? now < tx.end
+                    : tx.end - now > expected(tx) && (hopTokens >= 1 || !costly(tx));
+            if (!worth) {
+                giveUp(tx, 0);
             }
-            return ON;
+            return worth;
         }
 
         @Override
         public void back(long now, Tx tx, Hop hop, long took) {
-            if (tx.done || tx.streaming || tx.out > 0) {
-                return;
+            if (!tx.done && !tx.streaming) {
+                forward(now, tx, 0);
             }
-            forward(now, tx, 0);
         }
     }
 
@@ -371,7 +345,7 @@
     private static final double HOP_TOKENS = 20;
     private double hopTokens = HOP_TOKENS;
 
-    /** Every beat: transactions past their end are answered, and lost hops get a copy. */
+    /** Every beat: transactions past their end are answered, and lost hops are called off. */
     private void lookAfterOpen(long now) {
         int kept = 0;
         for (int i = 0; i < open.size(); i++) {
@@ -381,33 +355,21 @@
             }
             if (!tx.done) {
                 open.set(kept++, tx);
-                if (tx.out == 1 && tx.hops.size() < terms.maxHops()) {
-                    replaceIfLost(now, tx);
+                if (tx.out == 1 && !tx.streaming) {
+                    callOffIfLost(now, tx);
                 }
             }
         }
         open.subList(kept, open.size()).clear();
     }
 
-    /** A hop to a server that was shut out since gets a copy or, where copies are barred, is called off first. */
-    private void replaceIfLost(long now, Tx tx) {
-        if (terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT || tx.streaming) {
-            return;
-        }
+    /** A hop to a server that was shut out since is called off; its end brings a further one. */
+    private void callOffIfLost(long now, Tx tx) {
         Hop last = tx.hops.get(tx.hops.size() - 1);
-        if (last.server.shut && now - last.sent > last.expected && hopTokens >= 1
-                && tx.end - now > expected(tx)) {
-            if (!terms.secondCopies()) {
-                if (terms.cancelling()) {
-                    outlet.callOff(tx.id, tx.hops.size() - 1);
-                }
-                return;
-            }
-            Server server = pick(now, tx);
-            if (server != null) {
-                hopTokens--;
-                send(now, tx, server, false);
-            }
+        if (last.server.shut && now - last.sent > last.expected && hopTokens >= 1 && terms.cancelling()
+                && terms.profiles().get(tx.profile).repeat() != Terms.Repeat.NON_IDEMPOTENT
+                && tx.hops.size() < terms.maxHops() && tx.end - now > expected(tx)) {
+            outlet.callOff(tx.id, tx.hops.size() - 1);
         }
     }
 
@@ -416,16 +378,16 @@
     /** Ends transactions at the door when the wait already spoils the service goal (call dropping in D2). */
     private final class Early implements Stage {
         @Override
-        public int pass(long now, Tx tx) {
+        public boolean pass(long now, Tx tx) {
             if (!tx.hops.isEmpty()) {
-                return ON;
+                return true;
             }
             double dropped = callDrop[tx.profile] * (overShare(now, tx) ? 1 + callDrop[tx.profile] : 1);
             if (chance.next() < Math.min(MOST_DROPPED, dropped)) {
                 giveUp(tx, terms.longestPause());
-                return ENDED;
+                return false;
             }
-            return ON;
+            return true;
         }
 
         @Override
@@ -483,7 +445,7 @@
 
     // Fewer commits than this tell a jam from chance no better than by a third.
     private static final int ENOUGH = 10;
-    // With heavy tails one hop in a hundred takes ten times as long as others, and a second's mean goes by it.
+    // With heavy tails one hop in a hundred takes ten times as long, and a second's mean goes by it.
     private static final double LONGEST_WAIT = 3;
     // Per beat: a wait of twice what is permitted drops all calls after a fifth of a second, about one hop's
     // time.
@@ -520,7 +482,7 @@
     /** Last stage: picks a server and sends, or keeps the transaction while no server may take it. */
     private final class Choose implements Stage {
         @Override
-        public int pass(long now, Tx tx) {
+        public boolean pass(long now, Tx tx) {
             boolean first = tx.hops.isEmpty();
             Server trial = first && blocked ? null : trialFor(now, tx);
             Server server = trial != null ? trial : first && blocked ? null : pick(now, tx);
@@ -528,16 +490,16 @@
                 blocked |= first;
                 if (!tx.hops.isEmpty() || now - tx.arrived >= waitAtMost(tx)) {
                     giveUp(tx, 0);
-                    return ENDED;
+                    return false;
                 }
                 waiting.add(tx);
-                return KEPT;
+                return false;
             }
             if (costly(tx)) {
                 hopTokens--;
             }
             send(now, tx, server, trial != null);
-            return KEPT;
+            return false;
         }
 
         @Override
@@ -620,7 +582,8 @@
         for (List<Server> zone : zones.values()) {
             int n = zone.size();
             int first = (int) (terms.number() * GOLDEN % 1 * n);
-            long window = Math.round(Math.max(LEAST_WINDOW, CONNECTIONS * n * zones.size() / terms.sidecars()));
+            double part = CONNECTIONS * n * zones.size() / terms.sidecars();
+            long window = Math.round(Math.max(LEAST_WINDOW, part));
             for (long i = window; i < n; i++) {
                 zone.get((int) ((first + i) % n)).used = false;
             }
@@ -639,40 +602,30 @@
     // The design's points for a healthy server of mean weight.
     private static final int POINTS = 100;
 
-    /**
-     * A pick: a ring position and the next point that is not passed over; null when no server may take it.
-     */
+    /** A pick: a ring position, the next point that is not passed over; null when no server may take it. */
     private Server pick(long now, Tx tx) {
         if (ringStale) {
             layRing();
         }
         int n = ring.size();
         int random = (int) (chance.next() * n);
-        int start = random;
-        boolean keyed = false;
+        boolean keyed = tx.position >= 0 && tx.hops.isEmpty();
         boolean trusted = terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT;
-        if (tx.position >= 0 && tx.hops.isEmpty()) {
-            start = ring.from(tx.position);
-            keyed = true;
-        }
         boolean athome = abroad < 1 && chance.next() >= abroad;
         double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
-        // First walk with every reason to pass over, then with ever fewer; drains and cold budgets always
-        // hold.
+        // First with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
         for (int strict = 4; strict >= 0; strict--) {
             picks++;
             if (strict == 4 && !keyed && crowding < CROWDED) {
                 continue;
             }
-            if (strict < 4) {
-                start = random;
-            }
+            int start = strict == 4 && keyed ? ring.from(tx.position) : random;
             // Each server is asked once a walk, so that a walk in vain over a large fleet stays short.
             int asked = 0;
             for (int i = 0; i < n && asked < readyCount; i++) {
                 int place = start + i < n ? start + i : start + i - n;
                 Server server = servers.get(ring.owner(place));
-                if (server.refusedPick == picks || ring.ordinal(place) >= livePoints(server)) {
+                if (server.refusedPick == picks || ring.ordinal(place) >= server.livePoints()) {
                     continue;
                 }
                 server.refusedPick = picks;
@@ -714,39 +667,21 @@
         return !server.shut && warmth(now, server) >= 1;
     }
 
-    /** Points left by the drop rate, over the design's floor of one. */
-    private static int livePoints(Server server) {
-        return Math.max(1, (int) Math.round(server.points * (1 - server.drop)));
-    }
-
     /**
      * Warm keys: the key's ring position, the same at every sidecar, or one of several by chance: as many as
      * its share of the transactions here is worth of servers. Keys that all sidecars sent to one server made
      * it the busiest by eleven times.
      */
     private long keyPosition(long key) {
-        int slot = (int) (chance.position(key, -2) & keyIn.length - 1);
-        double before = keyIn[slot] == key
-                ? keyCount[slot] * Math.pow(0.5, (arrived - keyAt[slot]) / KEY_MEMORY) : 0;
-        keyIn[slot] = key;
-        keyCount[slot] = before + 1;
-        keyAt[slot] = arrived;
         int ready = Math.max(1, (int) Math.round(homeCount + abroad * (readyCount - homeCount)));
-        double seen = KEY_MEMORY / Math.log(2) * (1 - Math.pow(0.5, arrived / KEY_MEMORY));
-        // Half a sighting more, and half as many transactions as servers: what is unknown is spread at first.
-        double share = (before + 0.5) / (seen + ready / 2.0);
+        double share = keyShares.sighted(key, chance.position(key, -2), ready / 2.0);
         int positions = (int) Math.min(ready, Math.ceil(share * ready / KEY_PART));
         return chance.position(key, -1 - (int) (chance.next() * positions));
     }
 
     // A position takes half of a server's even part, so that chance rarely heaps up more than one part.
     private static final double KEY_PART = 0.5;
-    // Transactions after which a sighting counts half: enough to tell a share of one server in a hundred.
-    private static final double KEY_MEMORY = 500;
-    private final long[] keyIn = new long[2048];
-    private final double[] keyCount = new double[2048];
-    private final long[] keyAt = new long[2048];
-    private long arrived;
+    private final KeyShares keyShares = new KeyShares();
     private int readyCount;
     private int homeCount;
     /** How many sidecars send to a server. */
@@ -763,10 +698,7 @@
         return terms.coldFrom() + (1 - terms.coldFrom()) * Math.max(0, age) / terms.coldFor();
     }
 
-    /**
-     * Whether a server that may be cold can take this transaction: by chance as it warms, and within its
-     * budget.
-     */
+    /** Whether a server that may be cold can take this: by chance as it warms, and within its budget. */
     private boolean mayTakeCold(long now, Tx tx, Server server, int strict) {
         double warmth = warmth(now, server);
         if (warmth >= 1) {
@@ -810,10 +742,7 @@
     private static final double BARE_DRIFT = 1.002;
     private double usualAll;
 
-    /**
-     * How long a hop of this transaction usually takes, over all servers: its profile's mean, by its cost
-     * hint.
-     */
+    /** How long a hop of this usually takes, over all servers: its profile's mean, by its cost hint. */
     private double expected(Tx tx) {
         double mean = usual[tx.profile];
         if (tx.cost > 0 && usualCost[tx.profile] > 0) {
@@ -885,16 +814,15 @@
             span += GRADE_SPAN;
         }
         gradeSpan = span;
-        Arrays.fill(kindSlowness, 0);
-        Arrays.fill(kindAnswers, 0);
+        kinds.forEach(Server.Kind::clear);
         double slowness = 0;
         double answers = 0;
         for (Server server : servers) {
             server.answersNow = server.answers.total(now, span);
             server.slownessNow = server.slowness.total(now, span);
             if (server.used) {
-                kindSlowness[server.kind] += server.slownessNow;
-                kindAnswers[server.kind] += server.answersNow;
+                server.kind.slowness += server.slownessNow;
+                server.kind.answers += server.answersNow;
                 slowness += server.slownessNow;
                 answers += server.answersNow;
             }
@@ -903,8 +831,7 @@
         double[] means = new double[readyCount];
         int n = 0;
         for (Server server : servers) {
-            int k = server.kind;
-            double kind = (kindSlowness[k] + FEW_CALLS * mean) / (kindAnswers[k] + FEW_CALLS);
+            double kind = (server.kind.slowness + FEW_CALLS * mean) / (server.kind.answers + FEW_CALLS);
             server.mean = (server.slownessNow + FEW_CALLS * kind) / (server.answersNow + FEW_CALLS);
             if (server.used && n < means.length) {
                 means[n++] = server.mean;
@@ -928,9 +855,7 @@
     private static final long LONGEST_SPAN = 250_000;
     private long gradeSpan = GRADE_SPAN;
     private final Buckets answered = new Buckets(LONGEST_SPAN, 25);
-    private double[] kindSlowness = new double[1];
-    private double[] kindAnswers = new double[1];
-    private double[] kindSize = new double[1];
+    private final List<Server.Kind> kinds = new ArrayList<>();
 
     private static final long GRADE_EVERY = 10_000;
     private static final double GRADE_STEP = 0.05;
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -9,11 +9,11 @@
     final int index;
     int zone;
     int cell;
-    int kind;
+    Kind kind;
     double weight = 1;
     /** The weight as it was listed. */
     double shown = 1;
-    /** How many transactions it was last told to hold, by the list or an answer. */
+    /** How many transactions for each core the list said that it holds, halved in 3 s. */
     final Fading told = new Fading(30_000);
     long launched;
     boolean ready;
@@ -68,6 +68,43 @@
         committed = new Buckets(coldSpan, 8);
     }
 
+    /** What those of one kind show together. */
+    static final class Kind {
+        double slowness;
+        double answers;
+        /** The most that the list ever said. */
+        double size;
+
+        void clear() {
+            slowness = 0;
+            answers = 0;
+        }
+    }
+
+    void listed(Listed row, Kind itsKind, boolean weighed) {
+        ready = row.state() == Listed.State.READY;
+        used &= ready;
+        zone = row.zone();
+        kind = itsKind;
+        cell = row.cell();
+        launched = row.launched();
+        shown = weighed && row.weight() > 0 ? row.weight() : 1;
+        weight = shown;
+        kind.size = Math.max(kind.size, shown);
+    }
+
+    /** Lowered by what a server holds, a weight is no size: the most that its kind ever showed is. */
+    void shownBusy(long now) {
+        weight = kind.size;
+        // Its peaks stay in mind: a jammed server that was left alone drained, and was filled again at once.
+        told.set(now, Math.max(told.at(now), weight / shown - 1));
+    }
+
+    /** Points left by the drop rate, over the design's floor of one. */
+    int livePoints() {
+        return Math.max(1, (int) Math.round(points * (1 - drop)));
+    }
+
     void leave() {
         ready = false;
         used = false;
--- a/src/main/java/trestlegrade/Terms.java
+++ b/src/main/java/trestlegrade/Terms.java
@@ -8,7 +8,7 @@
  */
 public record Terms(
         List<Profile> profiles, List<Customer> customers, int sidecars,
-        int maxHops, boolean secondCopies, boolean cancelling, boolean pauses, long longestPause,
+        int maxHops, boolean cancelling, boolean pauses, long longestPause,
         boolean listOnRequest, long askWithin, Weights weights, boolean warmKeys,
         int zone, int number, double crossFee, double connectionFee, double evenness,
         double coldFrom, long coldFor, double fallMultiple, long fallSpan) {
--- a/src/main/java/trestlegrade/TermsReader.java
+++ b/src/main/java/trestlegrade/TermsReader.java
@@ -46,7 +46,7 @@
         }
         return new Terms(profiles, customers,
                 (int) Math.max(1, number("n_instances", 1.0)),
-                (int) Math.max(1, number("ceilings.max_hops", 1.0)), flag("ceilings.second_copies"),
+                (int) Math.max(1, number("ceilings.max_hops", 1.0)),
                 flag("ceilings.cancelling"), flag("ceilings.retry_after"),
                 time("ceilings.max_retry_after", 0.0),
                 choice("membership_mode", "pushed").equals("on_request"), time("safety.ask_within", 10_000.0),
