New settings load into a running program on SIGHUP, and back the same way

What is taken from then on goes by decisions of its own under the new terms (Desk.Tenure); what is open ends under the terms that it was taken under, and both hear of the list. Zones are known by name, so the order of azs may change.

--- a/src/main/java/trestlegrade/Terms.java
+++ b/src/main/java/trestlegrade/Terms.java
@@ -13,6 +13,13 @@
         int zone, int number, double crossFee, double connectionFee, double evenness,
         double coldFrom, long coldFor, double fallMultiple, long fallSpan) {
 
+    /** The same in another numbering of zones. */
+    public Terms inZone(int index) {
+        return new Terms(profiles, customers, sidecars, maxHops, cancelling, pauses, longestPause, listOnRequest,
+                askWithin, weights, warmKeys, index, number, crossFee, connectionFee, evenness, coldFrom, coldFor,
+                fallMultiple, fallSpan);
+    }
+
     /** What the list's weights tell: nothing, a size, or a size lowered by what an endpoint holds. */
     public enum Weights { NONE, SIZE, LIVE }
 
--- a/src/main/java/trestlegrade/sidecar/Commission.java
+++ b/src/main/java/trestlegrade/sidecar/Commission.java
@@ -51,6 +51,13 @@
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("settings: " + e.getMessage(), e);
         }
+        List<String> zones = plain(settings, "azs");
+        if (terms.zone() >= Math.max(1, zones.size())) {
+            throw bad("settings.zone", "is not among the " + zones.size() + " of settings.azs");
+        }
+        if (terms.number() >= terms.sidecars()) {
+            throw bad("settings.my_number", "must be under settings.n_instances");
+        }
         JsonObject limits = object(file, "limits");
         JsonObject known = object(file, "known");
         if (!(known.getValue("endpoints") instanceof JsonArray entries)) {
@@ -64,7 +71,7 @@
                 address("discovery", text(file, "discovery", environment.get("LB_DISCOVERY"))),
                 seed(text(file, "seed", null)), sockets(limits), version.longValue(),
                 entries, terms,
-                names(settings, "profiles"), names(settings, "tenants"), plain(settings, "azs"),
+                names(settings, "profiles"), names(settings, "tenants"), zones,
                 plain(settings, "flavors"), reader.time("ceilings.keepalive", 10_000.0),
                 reader.time("ceilings.dial_timeout", 250.0));
     }
@@ -85,12 +92,15 @@
         same.put("name", name.equals(other.name));
         same.put("listen", listen.equals(other.listen));
         same.put("limits", sockets == other.sockets);
-        same.put("settings", terms.equals(other.terms) && profiles.equals(other.profiles)
-                && customers.equals(other.customers) && idleFor == other.idleFor
-                && connectWithin == other.connectWithin);
         return same.keySet().stream().filter(key -> !same.get(key)).toList();
     }
 
+    boolean sameSettings(Commission other) {
+        return terms.equals(other.terms) && profiles.equals(other.profiles) && customers.equals(other.customers)
+                && zones.equals(other.zones) && kinds.equals(other.kinds) && idleFor == other.idleFor
+                && connectWithin == other.connectWithin;
+    }
+
     private static int sockets(JsonObject limits) {
         // Under 64 there is no room for the program itself, discovery and a few connections on either side.
         if (!(limits.getValue("sockets") instanceof Number n) || n.intValue() < 64) {
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -4,11 +4,14 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 import trestlegrade.Balance;
+import trestlegrade.Listed;
 import trestlegrade.Outcome;
 import trestlegrade.Outlet;
 import trestlegrade.Terms;
@@ -18,7 +21,7 @@
  * order, with one time for each turn, and carries out what is decided. A transaction's final answer is given
  * here too, so that nothing can be sent for it afterwards.
  */
-final class Desk implements Outlet {
+final class Desk {
     private final Vertx vertx;
     private final Context context;
     private final Clock clock;
@@ -28,7 +31,9 @@
     private final Queue<Runnable> list = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean called = new AtomicBoolean();
     private final LongObjectHashMap<Exchange> open = new LongObjectHashMap<>();
-    private final Balance balance;
+    /** The one that takes what arrives, and those before it that have transactions open. */
+    private Tenure tenure;
+    private final List<Tenure> earlier = new ArrayList<>();
     private Roster roster;
     private Hops hops;
     private Runnable watch;
@@ -40,7 +45,7 @@
         this.context = context;
         this.clock = clock;
         this.counters = counters;
-        balance = new Balance(terms, seed, this);
+        tenure = new Tenure(terms, seed);
     }
 
     /** Begins with the list as it was last known; discovery is asked at once. */
@@ -49,13 +54,29 @@
         this.hops = hops;
         this.watch = watch;
         put(list, () -> {
-            balance.start(now);
-            balance.listed(now, roster.take(known, true), true, true);
+            tenure.balance.start(now);
+            tenure.balance.listed(now, roster.take(known, true), true, true);
             // Where changes are said to arrive on their own they still come by the watch.
             watch.run();
         });
     }
 
+    /**
+     * New terms, for what arrives from now on: decisions of their own, which begin with the list as it stands.
+     * What is open ends under the terms that it was taken under, so no rule changes for it on its way.
+     */
+    void adopt(Terms terms, long seed, String zone) {
+        put(() -> {
+            Tenure before = tenure;
+            tenure = new Tenure(zone == null ? terms : terms.inZone(roster.zone(zone)), seed);
+            if (before.taken > 0) {
+                earlier.add(before);
+            }
+            tenure.balance.start(now);
+            tenure.balance.listed(now, roster.all(), true, true);
+        });
+    }
+
     // -------------------------------------------------- what has happened
 
     void arrived(Exchange exchange) {
@@ -65,7 +86,9 @@
             }
             exchange.id = ++nextId;
             open.put(exchange.id, exchange);
-            balance.arrived(now, exchange.id, exchange.profile, exchange.customer, exchange.key,
+            exchange.tenure = tenure;
+            tenure.taken++;
+            tenure.balance.arrived(now, exchange.id, exchange.profile, exchange.customer, exchange.key,
                     exchange.end - now, exchange.cost);
             forget(exchange);
         });
@@ -75,7 +98,7 @@
         put(() -> {
             if (!exchange.over()) {
                 exchange.clientLeft(counters);
-                balance.clientLeft(now, exchange.id);
+                exchange.tenure.balance.clientLeft(now, exchange.id);
                 forget(exchange);
             }
         });
@@ -92,17 +115,22 @@
                 counters.hopTook.recordValue(Math.min(clock.now() - hop.sent,
                         counters.hopTook.getHighestTrackableValue()));
             }
-            balance.hopEnded(now, exchange.id, hop.number, outcome, clock.now() - hop.sent, exchange.over());
+            exchange.tenure.balance.hopEnded(now, exchange.id, hop.number, outcome, clock.now() - hop.sent,
+                    exchange.over());
             forget(exchange);
         });
     }
 
     void listed(JsonArray entries, boolean whole) {
-        put(list, () -> balance.listed(now, roster.take(entries, whole), whole, false));
+        put(list, () -> {
+            List<Listed> rows = roster.take(entries, whole);
+            tenure.balance.listed(now, rows, whole, false);
+            earlier.forEach(each -> each.balance.listed(now, rows, whole, false));
+        });
     }
 
     void listFailed() {
-        put(list, () -> balance.listFailed(now));
+        put(list, () -> tenure.balance.listFailed(now));
     }
 
     /** Transactions that still wait for their final answer or have hops out. */
@@ -111,8 +139,9 @@
     }
 
     private void forget(Exchange exchange) {
-        if (exchange.over() && exchange.out == 0) {
-            open.remove(exchange.id);
+        if (exchange.over() && exchange.out == 0 && open.remove(exchange.id) != null
+                && --exchange.tenure.taken == 0) {
+            earlier.remove(exchange.tenure);
         }
     }
 
@@ -147,37 +176,47 @@
 
     // -------------------------------------------------- what is decided
 
-    @Override
-    public void send(long tx, long endpoint, long timeout) {
-        Exchange exchange = open.get(tx);
-        Hop hop = new Hop(exchange, exchange.hops.size(), roster.endpoint(endpoint), clock.now());
-        exchange.hops.add(hop);
-        exchange.out++;
-        hops.send(hop, exchange.over() ? 0 : timeout);
-    }
+    /** The decisions under one set of terms, from its start until the last transaction taken under it has ended. */
+    final class Tenure implements Outlet {
+        private final Balance balance;
+        private int taken;
 
-    @Override
-    public void callOff(long tx, int hop) {
-        hops.callOff(open.get(tx).hops.get(hop));
-    }
+        private Tenure(Terms terms, long seed) {
+            balance = new Balance(terms, seed, this);
+        }
 
-    @Override
-    public void rollBack(long tx, long pause) {
-        open.get(tx).rollBack(pause, counters);
-    }
+        @Override
+        public void send(long tx, long endpoint, long timeout) {
+            Exchange exchange = open.get(tx);
+            Hop hop = new Hop(exchange, exchange.hops.size(), roster.endpoint(endpoint), clock.now());
+            exchange.hops.add(hop);
+            exchange.out++;
+            hops.send(hop, exchange.over() ? 0 : timeout);
+        }
 
-    @Override
-    public void abandon(long tx) {
-        open.get(tx).abandon(counters);
-    }
+        @Override
+        public void callOff(long tx, int hop) {
+            hops.callOff(open.get(tx).hops.get(hop));
+        }
 
-    @Override
-    public void wake(long span) {
-        vertx.setTimer(Math.max(1, span / 10), t -> put(() -> balance.woken(now)));
-    }
+        @Override
+        public void rollBack(long tx, long pause) {
+            open.get(tx).rollBack(pause, counters);
+        }
 
-    @Override
-    public void subscribe() {
-        watch.run();
+        @Override
+        public void abandon(long tx) {
+            open.get(tx).abandon(counters);
+        }
+
+        @Override
+        public void wake(long span) {
+            vertx.setTimer(Math.max(1, span / 10), t -> put(() -> balance.woken(now)));
+        }
+
+        @Override
+        public void subscribe() {
+            watch.run();
+        }
     }
 }
--- a/src/main/java/trestlegrade/sidecar/Exchange.java
+++ b/src/main/java/trestlegrade/sidecar/Exchange.java
@@ -26,6 +26,7 @@
     final MultiMap head;
     final Buffer body;
     final int profile;
+    final boolean repeatable;
     final int customer;
     final long key;
     final long end;
@@ -35,16 +36,19 @@
     int out;
     /** Given at the desk; 0 before. */
     long id;
+    /** Under which it was taken; it ends under the same. */
+    Desk.Tenure tenure;
     private final Client client;
     private boolean over;
 
-    Exchange(String method, String uri, MultiMap head, Buffer body, int profile, int customer, long key,
-             long end, long cost, Client client) {
+    Exchange(String method, String uri, MultiMap head, Buffer body, int profile, boolean repeatable, int customer,
+             long key, long end, long cost, Client client) {
         this.method = method;
         this.uri = uri;
         this.head = head;
         this.body = body;
         this.profile = profile;
+        this.repeatable = repeatable;
         this.customer = customer;
         this.key = key;
         this.end = end;
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -17,6 +17,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import trestlegrade.Terms.Profile;
+import trestlegrade.Terms.Repeat;
 import trestlegrade.sidecar.Clients.Connection;
 
 /** The application's side: reads transactions, hands them to the desk, and answers what is not one itself. */
@@ -29,10 +31,12 @@
     private final Counters counters;
     private final Desk desk;
     private final Roster roster;
-    private final Commission commission;
+    private Commission commission;
+    /** Until when what was taken under earlier settings may last. */
+    private long earlierLast;
     private final Lateness lateness;
-    private final Map<String, Integer> profiles;
-    private final Map<String, Integer> customers;
+    private Map<String, Integer> profiles;
+    private Map<String, Integer> customers;
     private final Clients clients;
     /** The ids of the transactions that are open. */
     private final Set<String> traces = new HashSet<>();
@@ -95,9 +99,7 @@
         this.desk = desk;
         this.roster = roster;
         this.lateness = lateness;
-        this.commission = commission;
-        profiles = numbered(commission.profiles());
-        customers = numbered(commission.customers());
+        adopt(commission);
         clients = new Clients(vertx, clock, counters, descriptors, lateness, this::left);
         HttpServerOptions options = new HttpServerOptions().setHost(commission.listen().host())
                 .setPort(commission.listen().port()).setTcpNoDelay(true).setHttp2ClearTextEnabled(false)
@@ -111,6 +113,16 @@
         server.requestHandler(this::request);
     }
 
+    /** New settings, for what is taken from now on. */
+    final void adopt(Commission told) {
+        if (commission != null) {
+            earlierLast = Math.max(earlierLast, clock.now() + commission.longestLimit() * 10);
+        }
+        commission = told;
+        profiles = numbered(told.profiles());
+        customers = numbered(told.customers());
+    }
+
     // More than the descriptors allow to be open: no client that comes during a stall is turned away.
     private static final int BACKLOG = 1024;
 
@@ -127,11 +139,12 @@
     long leave() {
         leaving = true;
         clients.keep();
-        long answered = commission.longestLimit() + GRACE;
+        long limit = Math.max(commission.longestLimit(), (earlierLast - clock.now()) / 10);
+        long answered = limit + GRACE;
         lastAnswer = clock.now() + answered * 10;
         vertx.setTimer(Math.max(LINGER, answered - commission.longestGoal() / 2), t -> {
             closing = true;
-            server.shutdown(commission.longestLimit(), TimeUnit.MILLISECONDS);
+            server.shutdown(limit, TimeUnit.MILLISECONDS);
             clients.leave();
         });
         vertx.setTimer(LINGER, t -> lingered = true);
@@ -226,12 +239,14 @@
             // Too many, or leaving: nothing has been sent for it, and the connection ends with the answer.
             reject(request, client, 503, client.reason);
         } else {
-            long wait = Math.min(patience, commission.terms().profiles().get(profile).hardLimit());
+            Profile terms = commission.terms().profiles().get(profile);
+            long wait = Math.min(patience, terms.hardLimit());
             long end = Math.min(lastAnswer, clock.now() + wait)
                     - Math.min(Math.max(0, lateness.now()), wait / MOST_LATE);
             Exchange exchange = new Exchange(request.method().name(), uri, Heads.onward(request.headers(),
                             request.getHeader("Connection")),
-                    body, profile, customers.getOrDefault(request.getHeader("X-Customer"), -1),
+                    body, profile, terms.repeat() == Repeat.IDEMPOTENT,
+                    customers.getOrDefault(request.getHeader("X-Customer"), -1),
                     Heads.key(target), end,
                     Heads.cost(request.getHeader("X-Size-Hint")),
                     new Reply(client, request.response(), trace));
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.net.NetSocketInternal;
+import io.vertx.core.net.ConnectOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import java.util.ArrayDeque;
@@ -11,7 +12,6 @@
 import java.util.Deque;
 import java.util.Iterator;
 import trestlegrade.Outcome;
-import trestlegrade.Terms;
 import trestlegrade.sidecar.Roster.Endpoint;
 
 /**
@@ -31,9 +31,8 @@
     private final Ends ends;
     private final NetClient client;
     private final LongObjectHashMap<Deque<Lane>> idle = new LongObjectHashMap<>();
-    private final Terms terms;
-    private final long connectWithin;
-    private final long idleFor;
+    private long connectWithin;
+    private long idleFor;
     private final Descriptors descriptors;
     private final long sweeper;
 
@@ -43,14 +42,17 @@
         this.counters = counters;
         this.ends = ends;
         descriptors = Descriptors.forHops(commission.sockets());
-        terms = commission.terms();
+        adopt(commission);
+        trusted = idleFor;
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
+        sweeper = vertx.setPeriodic(SWEEP, t -> sweep());
+    }
+
+    /** New settings: for connections from now on, and for how long those that are open may stand idle. */
+    void adopt(Commission commission) {
         connectWithin = Math.max(1, commission.connectWithin() / 10);
         // A fifth of the endpoint's own time is left for what is under way and for a late event loop.
         idleFor = commission.idleFor() * 4 / 5;
-        trusted = idleFor;
-        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true)
-                .setConnectTimeout((int) connectWithin));
-        sweeper = vertx.setPeriodic(SWEEP, t -> sweep());
     }
 
     // Much finer than the fifth above at any idle time of seconds.
@@ -100,7 +102,7 @@
     private Lane idleLane(Hop hop) {
         Deque<Lane> free = idle.get(hop.endpoint.id);
         long now = clock.now();
-        boolean repeatable = terms.profiles().get(hop.exchange.profile).repeat() == Terms.Repeat.IDEMPOTENT;
+        boolean repeatable = hop.exchange.repeatable;
         Lane young = null;
         if (free != null) {
             for (Iterator<Lane> each = free.descendingIterator(); each.hasNext();) {
@@ -149,7 +151,8 @@
         counters.connects++;
         Endpoint endpoint = hop.endpoint;
         long asked = clock.now();
-        client.connect(endpoint.address).onComplete(up -> {
+        client.connect(new ConnectOptions().setRemoteAddress(endpoint.address).setTimeout((int) connectWithin))
+                .onComplete(up -> {
             if (up.failed()) {
                 descriptors.giveBack();
                 counters.ended("lane", "connect-failed", endpoint.name, 0, clock.now() - asked);
--- a/src/main/java/trestlegrade/sidecar/Roster.java
+++ b/src/main/java/trestlegrade/sidecar/Roster.java
@@ -20,6 +20,7 @@
         final String name;
         SocketAddress address;
         boolean active;
+        private Listed row;
         private long launched;
         private int pass;
 
@@ -48,6 +49,20 @@
         this.log = log;
     }
 
+    /** All that have not left, as they were last listed. */
+    List<Listed> all() {
+        List<Listed> rows = new ArrayList<>(byId.size());
+        for (var each : byId) {
+            rows.add(each.value.row);
+        }
+        return rows;
+    }
+
+    /** Where a zone stands among those known; the numbering only grows, so that it holds for all terms. */
+    int zone(String name) {
+        return index(zones, name);
+    }
+
     Endpoint endpoint(long id) {
         return byId.get(id);
     }
@@ -144,6 +159,7 @@
             return;
         }
         rows.add(row);
+        endpoint.row = row;
         byId.put(id, endpoint);
         if (outdated) {
             watcher.outdated(endpoint);
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -23,12 +23,16 @@
     private final Descriptors clients;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch failed = new CountDownLatch(1);
+    /** With the settings as they are now. */
+    private Commission inForce;
     private Desk desk;
+    private Hops hops;
     private Front front;
     private Discovery discovery;
 
     Sidecar(Commission commission, Map<String, String> environment) {
         this.commission = commission;
+        inForce = commission;
         this.environment = environment;
         clients = Descriptors.forClients(commission.sockets());
     }
@@ -123,7 +127,7 @@
         Clock clock = new Clock();
         long begun = clock.now();
         desk = new Desk(vertx, context, clock, counters, commission.terms(), commission.seed());
-        Hops hops = new Hops(vertx, clock, counters, desk::hopEnded, commission);
+        hops = new Hops(vertx, clock, counters, desk::hopEnded, commission);
         Roster roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, log);
         discovery = new Discovery(vertx, clock, counters, commission.discovery(),
                 commission.version(), desk);
@@ -146,8 +150,8 @@
     }
 
     /**
-     * SIGHUP: the file is read anew, on the signal's own thread. Where discovery is may change under way; all
-     * else is what this sidecar began with, so another value there waits for a restart and is named in the log.
+     * SIGHUP: the file is read anew, on the signal's own thread. Where discovery is and the settings change under
+     * way; all else is what this sidecar began with: another value there waits for a restart, named in the log.
      */
     private void reread(Context context) {
         Commission told;
@@ -162,10 +166,24 @@
         context.runOnContext(v -> {
             if (discovery != null) {
                 discovery.moveTo(told.discovery());
+                adopt(told);
             }
         });
     }
 
+    /** New settings hold for all that is taken from now on; the old file's bring them back the same way. */
+    private void adopt(Commission told) {
+        if (!told.sameSettings(inForce)) {
+            inForce = told;
+            hops.adopt(told);
+            front.adopt(told);
+            desk.adopt(told.terms(), commission.seed(),
+                    told.zones().isEmpty() ? null : told.zones().get(told.terms().zone()));
+            int open = desk.open();
+            log.add(() -> Logger.info("reload code=adopted open={}", open));
+        }
+    }
+
     /** Ends once all that was taken is answered, at the latest when the last hard limit has passed. */
     private void leave(Vertx vertx) {
         int open = desk.open();
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -522,6 +522,9 @@
         });
         sockets = 100;
         serve();
+        // The loop stands still for up to half a second as it starts, and remembers that, halved each second:
+        // meanwhile it makes no room by connections that may hold something unread.
+        pause(2_500);
         List<Client> busy = new ArrayList<>();
         for (int i = 0; i < 25; i++) {
             busy.add(client());
@@ -801,6 +804,99 @@
         assertEquals(0, process.exitValue());
     }
 
+    /**
+     * New settings load into the running program, and back is the same step: all that is taken gets one answer and
+     * goes out once, what is open ends under the terms it was taken under, and drains hold for it too.
+     */
+    @Test
+    void newSettingsLoadUnderWay() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            endpoint(r -> {
+                pause(r.contains("slow") ? 700 : 2);
+                return answer(200, "", header(r, "X-Trace-Id"));
+            });
+        }
+        known = new JsonArray().add(entry(0, "active")).add(entry(1, "active").put("zone", "b"));
+        serve();
+        within(1_000, () -> discovery.seen.size() == 1);
+        Path file = dir.resolve("config.json");
+        String before = Files.readString(file);
+        JsonObject moved = new JsonObject(before);
+        JsonObject settings = moved.getJsonObject("settings").put("azs", new JsonArray().add("c").add("b").add("a"))
+                .put("zone", 1).put("n_instances", 300).put("my_number", 299).put("weights", "live")
+                .put("fees", new JsonObject().put("cross_zone", 0.12).put("connection", 0.03))
+                .put("goal", new JsonObject().put("whole", 0.4).put("worst_class", 0.4))
+                .put("family_info", new JsonObject().put("warm_keys", true));
+        settings.getJsonObject("ceilings").put("retry_after", false);
+        settings.getJsonArray("profiles").add(settings.getJsonArray("profiles").getJsonObject(0).copy()
+                .put("name", "cert"));
+        Client slow = client();
+        for (int round = 0; round < 4; round++) {
+            boolean there = round % 2 == 0;
+            slow.write(transaction("post-charge", "slow" + round, 2_000));
+            AtomicInteger at = new AtomicInteger(round * 1_000);
+            String now = round + "";
+            List<Thread> busy = new ArrayList<>();
+            List<String> wrong = new CopyOnWriteArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                Client client = client();
+                Thread thread = new Thread(() -> {
+                    for (int n = 0; n < 60; n++) {
+                        String trace = "t" + at.getAndIncrement();
+                        String got = client.tries(transaction(n % 2 == 0 ? "quote" : "post-charge", trace, 900));
+                        if (!got.startsWith("HTTP/1.1 200 ") || !got.endsWith(trace)) {
+                            wrong.add(now + " " + got);
+                        }
+                    }
+                });
+                busy.add(thread);
+                thread.start();
+            }
+            pause(30);
+            Files.writeString(file, there ? moved.encode() : before);
+            signal("HUP");
+            int adopted = round + 1;
+            within(2_000, () -> log().split("code=adopted open=[1-9]", -1).length == adopted + 1);
+            // The profile of the new settings is known with them and not without; zones keep their names.
+            String got = client().ask(transaction("cert", "c" + round, 900));
+            assertTrue(got.startsWith(there ? "HTTP/1.1 200 " : "HTTP/1.1 404 "), got);
+            for (Thread each : busy) {
+                each.join();
+            }
+            assertEquals(List.of(), wrong);
+            assertTrue(slow.read().endsWith("slow" + round));
+            int[] seen = endpoints.stream().mapToInt(e -> e.seen.size()).toArray();
+            Client client = client();
+            for (int n = 0; n < 20; n++) {
+                assertTrue(client.ask(transaction("quote", "z" + round + "-" + n, 900)).startsWith("HTTP/1.1 200 "));
+            }
+            int away = endpoints.get(0).seen.size() - seen[0];
+            assertTrue(there ? away == 0 : away > 0, "in round " + round + " " + away + " went to the other zone");
+        }
+        // Another SIGHUP with nothing new starts nothing anew.
+        signal("HUP");
+        within(1_000, () -> log().split("code=read", -1).length == 6);
+        List<String> traces = endpoints.stream().flatMap(e -> e.seen.stream()).map(r -> header(r, "X-Trace-Id")).toList();
+        assertEquals(traces.size(), traces.stream().distinct().count(), "sent twice");
+        assertEquals(5, log().split("code=adopted", -1).length);
+        assertEquals(1, discovery.seen.size());
+        JsonObject counted = counters();
+        assertEquals(counted.getLong("taken"), counted.getLong("committed"));
+        // What was taken under the settings before hears of a drain as well.
+        slow.write(transaction("quote", "slow-last", 2_000));
+        within(1_000, () -> endpoints.stream().anyMatch(e -> e.saw("slow-last")));
+        int holder = endpoints.get(0).saw("slow-last") ? 0 : 1;
+        Files.writeString(file, moved.encode());
+        signal("HUP");
+        within(1_000, () -> log().split("code=adopted", -1).length == 6);
+        discovery.line(list(8, false, entry(1 - holder, "leaving")));
+        within(1_000, () -> counters().getLong("list_lines") == 1);
+        int seen = endpoints.get(1 - holder).seen.size();
+        endpoints.get(holder).dropAll();
+        assertTrue(slow.read().startsWith("HTTP/1.1 "));
+        assertEquals(seen, endpoints.get(1 - holder).seen.size());
+    }
+
     private String log() {
         try {
             return Files.readString(dir.resolve("log"));
@@ -842,13 +938,17 @@
     @ParameterizedTest
     @CsvSource({
         "profiles.0.effect, sometimes", "profiles.0.hard_limit, -1", "profiles, ", "safety.cold_from, x",
-        "ceilings.keepalive, never", "n_instances, many", "profiles.1.name, "})
+        "ceilings.keepalive, never", "n_instances, many", "profiles.1.name, ", "my_number, 3", "zone, 2",
+        "weights, heavy", "fees.cross_zone, -1", "fees.connection, x", "goal.worst_class, x"})
     void badTermsEndTheProgramNamingTheKey(String path, String value) throws Exception {
         endpoint(r -> HANG);
         JsonObject file = configuration();
         JsonObject at = file.getJsonObject("settings");
         String[] steps = path.split("\\.");
         for (int i = 0; i < steps.length - 1; i++) {
+            if (!at.containsKey(steps[i])) {
+                at.put(steps[i], new JsonObject());
+            }
             at = at.getValue(steps[i]) instanceof JsonArray array
                     ? array.getJsonObject(Integer.parseInt(steps[++i])) : at.getJsonObject(steps[i]);
         }
