--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -24,7 +24,8 @@
  * <li>shutting out: a server that falls silent or fails (in a row, one profile) is left, tried with care;
  * <li>further hops within a budget, also for lost hops once they are called off;
  * <li>early rollback when the wait already spoils the service goal;
- * <li>warm keys: where servers remember keys, the ring position comes from the key instead of from chance.
+ * <li>warm keys: where servers remember keys, the ring position comes from the key instead of from chance;
+ * <li>reach: where connections or crossings cost, a window of servers, and the own zone until it is crowded.
  * </ol>
  */
 public final class Balance {
@@ -573,12 +574,12 @@
      */
     private void chooseUsed() {
         servers.forEach(server -> server.used = server.ready);
-        Map<Integer, List<Server>> zones = servers.stream().filter(server -> server.ready)
-                .sorted(Comparator.comparingLong(server -> chance.position(server.id, -3)))
-                .collect(Collectors.groupingBy(server -> server.zone));
         if (terms.connectionFee() == 0) {
             return;
         }
+        Map<Integer, List<Server>> zones = servers.stream().filter(server -> server.ready)
+                .sorted(Comparator.comparingLong(server -> chance.position(server.id, -3)))
+                .collect(Collectors.groupingBy(server -> server.zone));
         for (List<Server> zone : zones.values()) {
             int n = zone.size();
             int first = (int) (terms.number() * GOLDEN % 1 * n);
@@ -611,7 +612,7 @@
         int random = (int) (chance.next() * n);
         boolean keyed = tx.position >= 0 && tx.hops.isEmpty();
         boolean trusted = terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT;
-        boolean athome = abroad < 1 && chance.next() >= abroad;
+        boolean athome = abroad < 1 && homeCount > 0 && chance.next() >= abroad;
         double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
         // First with every reason to pass over, then with ever fewer; drains and cold budgets always hold.
         for (int strict = 4; strict >= 0; strict--) {
@@ -649,7 +650,10 @@
 
     // A crossing that costs less than a twentieth of a transaction is not worth crowding the own zone for.
     private static final double HOME_FEE = 0.05;
+    // Of the least wait that drops calls. Sooner, a third of the picks left though both zones were as busy,
+    // and each key was met by half as many servers again.
     private static final double HOME_WAIT = 2;
+    // Per beat: all leave after a second of crowding, and as fast come back.
     private static final double ABROAD_STEP = 0.01;
     /** The part of the picks that need not stay in the own zone. */
     private double abroad;
@@ -659,6 +663,7 @@
     // permitted at the least (0.15 of 0.2 of the service goal), every pick keeps to that part.
     private static final double MUCH_DOWN = 0.5;
     private static final double CROWDED = 0.15;
+    // What the list tells is a second old: a key stays while its server holds half more than the mean.
     private static final double TOLD_CROWDED = 1.5;
     private double meanTold;
 
