--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -114,7 +114,7 @@
     }
 
     /** New settings, for what is taken from now on. */
-    final void adopt(Commission told) {
+    void adopt(Commission told) {
         if (commission != null) {
             earlierLast = Math.max(earlierLast, clock.now() + commission.longestLimit() * 10);
         }
