The reload test keeps its watch on discovery alive

newSettingsLoadUnderWay failed on a clean checkout since its slow hops take 1.2 s: after 4.5 s of silence the watch on discovery was begun anew, as it should be. The stand-in now sends the empty lines that discovery sends.

--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -833,6 +833,8 @@
         Client slow = client();
         for (int round = 0; round < 4; round++) {
             boolean there = round % 2 == 0;
+            // As discovery does while nothing changes: a watch that is silent for 4.5 s is begun anew.
+            discovery.line("");
             slow.write(transaction("post-charge", "slow" + round, 2_000));
             AtomicInteger at = new AtomicInteger(round * 1_000);
             String now = round + "";
