Back-off from a busy discovery goes to half of the time allowed, not an eighth

Cause: Balance.listFailed backs off to 1.25 s at the most; a hundred callers are some fifty calls a second, and the queue at discovery is fed by those that it turned away. Ruled out: discovery being down (calls wait their 2 s), a dead address. Reason in the settings: a call that failed is good for four times ask_within, so half of it is well inside. Module test: 612 calls of a hundred in 20 s before, under 400 now.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -129,9 +129,10 @@
 
     /** A call for the list failed, or the subscription dropped. */
     public void listFailed(long now) {
-        // Back-off doubles from 100 ms to an eighth of the time within which it must have been asked; the
-        // spread keeps sidecars that failed together from asking together.
-        long wait = Math.min(1_000L << Math.min(listFailures++, 6), terms.askWithin() / 8);
+        // Back-off doubles from half a second to half of the time within which it must have been asked (a failed
+        // call is good for four times that), apart by chance. At an eighth of it a hundred that had started
+        // together asked fifty times a second, and none was served for 10 s.
+        long wait = Math.min(5_000L << Math.min(listFailures++, 6), terms.askWithin() / 2);
         askListAt = now + wait / 2 + (long) (wait * chance.next());
         stayAwake();
     }
@@ -413,7 +414,7 @@
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(span, now - firstSent));
         // Hops in vain waited too: without them a jam in which most time out looks like none. While more
-        // commit, they tell of silent servers, not of a wait: in a zone's cut four calls in five were dropped.
+        // commit, they tell of silent servers, not of a wait: in a cut zone four calls in five were dropped.
         jammed = vain.count(now, span) + silentOut > committed;
         // Few hops make Little's figure jump; the ages of hops still out and the times of those that just
         // ended temper it, and so do as many at the best mean time as would be enough on their own: a usual
