--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -54,6 +54,7 @@
         int profiles = terms.profiles().size();
         usual = new double[profiles];
         usualCost = new double[profiles];
+        learnt = new int[profiles];
         callDrop = new double[profiles];
         for (int i = 0; i < profiles; i++) {
             // A quarter of the service goal until the first answers tell.
@@ -129,8 +130,8 @@
 
     /** A call for the list failed, or the subscription dropped. */
     public void listFailed(long now) {
-        // Back-off doubles from half a second to half of the time within which it must have been asked (a failed
-        // call is good for four times that), apart by chance. At an eighth of it a hundred that had started
+        // Back-off doubles from half a second to half of the time within which it must have been asked (a
+        // failed call is good for four times that), apart by chance. At an eighth of it a hundred that had started
         // together asked fifty times a second, and none was served for 10 s.
         long wait = Math.min(5_000L << Math.min(listFailures++, 6), terms.askWithin() / 2);
         askListAt = now + wait / 2 + (long) (wait * chance.next());
@@ -744,6 +745,7 @@
 
     private final double[] usual;
     private final double[] usualCost;
+    private final int[] learnt;
     private double bare;
     private double usualGoal;
     // A best time is forgotten by a tenth in a minute, so that a long jam does not pass for health.
@@ -752,11 +754,8 @@
 
     /** How long a hop of this usually takes, over all servers: its profile's mean, by its cost hint. */
     private double expected(Tx tx) {
-        double mean = usual[tx.profile];
-        if (tx.cost > 0 && usualCost[tx.profile] > 0) {
-            return mean * (0.3 + 0.7 * tx.cost / usualCost[tx.profile]);
-        }
-        return mean;
+        boolean hinted = tx.cost > 0 && usualCost[tx.profile] > 0;
+        return usual[tx.profile] * (hinted ? 0.3 + 0.7 * tx.cost / usualCost[tx.profile] : 1);
     }
 
     private void track(long now, Tx tx, Hop hop, long took) {
@@ -792,14 +791,13 @@
             answered.add(now, 1);
             server.slowness.add(now, took / hop.expected);
             server.pace += 0.1 * (took / hop.expected - server.pace);
-            usual[tx.profile] += 0.02 * (took - usual[tx.profile]);
+            // As a plain mean at first: one answer for one in fifty had a new sidecar go by its first hint.
+            double step = Math.max(0.02, 1.0 / ++learnt[tx.profile]);
+            usual[tx.profile] += Math.min(step, 1.0 / FEW_CALLS) * (took - usual[tx.profile]);
             usualAll += 0.02 * (took - usualAll);
             usualGoal += 0.02 * (terms.profiles().get(tx.profile).serviceGoal() - usualGoal);
             bare = Math.min(bare, usualAll);
-            if (tx.cost > 0) {
-                double step = usualCost[tx.profile] == 0 ? 1 : 0.02;
-                usualCost[tx.profile] += step * (tx.cost - usualCost[tx.profile]);
-            }
+            usualCost[tx.profile] += tx.cost > 0 ? step * (tx.cost - usualCost[tx.profile]) : 0;
         }
         long lately = gradeSpan * 2 / 5;
         if (server.shut) {
