SIGTERM: all that was taken is answered within 3 s, however long its client waits

The protocol kills no sooner than the longest hard limit, 3 s at most, and 0.7 s more after SIGTERM. Now the reckoning stops at three seconds, what is open has its end brought forward to that (Balance.endBy), and the last answers are given 100 ms before the program ends. Whether a hop reached a server is asked of the transaction (Tx).

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -131,8 +131,8 @@
     /** A call for the list failed, or the subscription dropped. */
     public void listFailed(long now) {
         // Back-off doubles from half a second to half of the time within which it must have been asked (a
-        // failed call is good for four times that), apart by chance. At an eighth of it a hundred that had started
-        // together asked fifty times a second, and none was served for 10 s.
+        // failed call is good for four times that), apart by chance. At an eighth of it a hundred that had
+        // started together asked fifty times a second, and none was served for 10 s.
         long wait = Math.min(5_000L << Math.min(listFailures++, 6), terms.askWithin() / 2);
         askListAt = now + wait / 2 + (long) (wait * chance.next());
         stayAwake();
@@ -207,6 +207,11 @@
         }
     }
 
+    /** The program ends: what is open has its final answer by then, whatever its client would wait. */
+    public void endBy(long end) {
+        open.forEach(tx -> tx.end = Math.min(tx.end, end));
+    }
+
     /** There is a next beat only while anything is open: hundreds of idle sidecars cost nothing. */
     private void stayAwake() {
         if (!awake) {
@@ -317,7 +322,7 @@
             }
             // A further hop only if the time left exceeds the time it is expected to take.
             boolean worth = tx.hops.isEmpty() ? now < tx.end
-                    : tx.end - now > expected(tx) && (hopTokens >= 1 || !costly(tx));
+                    : tx.end - now > expected(tx) && (hopTokens >= 1 || !tx.costly());
             if (!worth) {
                 giveUp(tx, 0);
             }
@@ -332,16 +337,6 @@
         }
     }
 
-    /** Whether a hop before reached a server, so that one more adds to the servers' work. */
-    private static boolean costly(Tx tx) {
-        for (Hop hop : tx.hops) {
-            if (hop.outcome != Outcome.NO_CONNECTION && hop.outcome != Outcome.NOT_SENT) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     // Further hops: one for every five arrivals, as the design's step; twenty saved up bridge a lost server.
     private static final double FURTHER_SHARE = 0.2;
     private static final double HOP_TOKENS = 20;
@@ -502,7 +497,7 @@
                 waiting.add(tx);
                 return false;
             }
-            if (costly(tx)) {
+            if (tx.costly()) {
                 hopTokens--;
             }
             send(now, tx, server, trial != null);
--- a/src/main/java/trestlegrade/Tx.java
+++ b/src/main/java/trestlegrade/Tx.java
@@ -26,7 +26,7 @@
     final int profile;
     final int customer;
     final long arrived;
-    final long end;
+    long end;
     final long cost;
     final List<Hop> hops = new ArrayList<>(3);
     /** Where on the ring its key lies, or -1. */
@@ -53,6 +53,16 @@
         return false;
     }
 
+    /** Whether a hop before reached a server, so that one more adds to the servers' work. */
+    boolean costly() {
+        for (Hop hop : hops) {
+            if (hop.outcome != Outcome.NO_CONNECTION && hop.outcome != Outcome.NOT_SENT) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The first hop that ran or may have run (one still out may run), or null. */
     Hop mayHaveRun() {
         for (Hop hop : hops) {
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -133,6 +133,14 @@
         put(list, () -> tenure.balance.listFailed(now));
     }
 
+    /** All that has been taken has its final answer by then. */
+    void endBy(long end) {
+        put(() -> {
+            tenure.balance.endBy(end);
+            earlier.forEach(each -> each.balance.endBy(end));
+        });
+    }
+
     /** Transactions that still wait for their final answer or have hops out. */
     int open() {
         return open.size();
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -139,9 +139,10 @@
     long leave() {
         leaving = true;
         clients.keep();
-        long limit = Math.max(commission.longestLimit(), (earlierLast - clock.now()) / 10);
+        long limit = Math.min(LONGEST, Math.max(commission.longestLimit(), (earlierLast - clock.now()) / 10));
         long answered = limit + GRACE;
-        lastAnswer = clock.now() + answered * 10;
+        lastAnswer = clock.now() + (answered - LAST_WORDS) * 10;
+        desk.endBy(lastAnswer);
         vertx.setTimer(Math.max(LINGER, answered - commission.longestGoal() / 2), t -> {
             closing = true;
             server.shutdown(limit, TimeUnit.MILLISECONDS);
@@ -151,9 +152,14 @@
         return answered;
     }
 
+    // However long clients wait, the operators allow three seconds for it: with hard limits of 10 s what was open was
+    // killed unanswered.
+    private static final long LONGEST = 3_000;
     // The operators kill no sooner than 700 ms after the longest hard limit. The JVM takes up to 300 ms to halt, and
     // 200 are left over for a loop that runs late.
     private static final long GRACE = 200;
+    // Milliseconds for the last answers to be given and written, on a loop that runs late.
+    private static final long LAST_WORDS = 100;
     // Clients go on coming for up to 0.4 s; as much again is left over for a loop that runs late.
     private static final long LINGER = 600;
 
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -768,6 +768,26 @@
         assertTrue(log.contains("code=ended") && log.contains("\"taken\":6,\"committed\":5"), log);
     }
 
+    /** Clients that wait longer than the program is left alive get their one answer before its end all the same. */
+    @Test
+    void onSigtermWhatWouldOutliveItIsAnsweredBeforeItsEnd() throws Exception {
+        Stub mute = endpoint(r -> HANG);
+        settings().put("profiles", new JsonArray(settings().getJsonArray("profiles").encode()
+                .replace("\"hard_limit\":3000", "\"hard_limit\":9000").replace("\"hard_limit\":1500", "\"hard_limit\":9000")));
+        serve();
+        Client[] clients = {client(), client()};
+        clients[0].write(transaction("post-charge", "t0", 9_000));
+        clients[1].write(transaction("quote", "t1", 9_000));
+        within(1_000, () -> mute.saw("t0") && mute.saw("t1"));
+        long start = System.nanoTime();
+        process.destroy();
+        assertTrue(clients[0].read().startsWith("HTTP/1.1 502 "));
+        assertTrue(clients[1].read().startsWith("HTTP/1.1 503 "));
+        assertTrue(process.waitFor(2, TimeUnit.SECONDS));
+        assertTrue((System.nanoTime() - start) / 1_000_000 < 3_700, "ends before it is killed");
+        assertEquals(0, process.exitValue());
+    }
+
     @Test
     void onSigtermItEndsAsSoonAsItsClientsHave() throws Exception {
         endpoint(r -> answer(200, "", "good"));
