--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -409,9 +409,9 @@
         double committed = commits.count(now, span);
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(span, now - firstSent));
-        // Hops in vain waited too: without them a jam in which most time out looks like none. While more
-        // commit, they tell of silent servers, not of a wait: in a cut zone four calls in five were dropped.
-        jammed = vain.count(now, span) + silentOut > committed;
+        // Hops in vain waited too: without them a jam in which most time out looks like none. While twice as
+        // many commit, they tell of silent servers, not of a wait: in a cut zone 4 calls in 5 were dropped.
+        jammed = vain.count(now, span) + silentOut > committed / 2;
         // Few hops make Little's figure jump; the ages of hops still out and the times of those that just
         // ended temper it, and so do as many at the best mean time as would be enough on their own: a usual
         // time would keep a jam alive where most is dropped and little is learnt.
