--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -247,8 +247,9 @@
         } else {
             Profile terms = commission.terms().profiles().get(profile);
             long wait = Math.min(patience, terms.hardLimit());
-            long end = Math.min(lastAnswer, clock.now() + wait)
-                    - Math.min(Math.max(STALL, lateness.now()), wait / MOST_LATE);
+            long late = Math.max(0, lateness.now());
+            long end = Math.min(lastAnswer - Math.min(late, wait / MOST_LATE),
+                    clock.now() + wait - Math.min(Math.max(STALL, late), wait / MOST_LATE));
             Exchange exchange = new Exchange(request.method().name(), uri, Heads.onward(request.headers(),
                             request.getHeader("Connection")),
                     body, profile, terms.repeat() == Repeat.IDEMPOTENT,
