Trial: lanes rest by turns of the loop, and one timer serves all regular looks

Change: a lane has rested once the loop that owns it has read its sockets again and two milliseconds are over, without timers; the loop's lateness, clients, lanes and the watch are looked after by one timer of 50 ms (Pulse). All tests green.

--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -25,7 +25,8 @@
     private long version;
     private Watch current;
 
-    Discovery(Vertx vertx, Clock clock, Counters counters, SocketAddress address, long version, Desk desk) {
+    Discovery(Vertx vertx, Pulse pulse, Clock clock, Counters counters, SocketAddress address, long version,
+              Desk desk) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
@@ -34,7 +35,7 @@
         this.desk = desk;
         client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false)
                 .setConnectTimeout(CONNECT_WITHIN));
-        vertx.setPeriodic(LOOK, t -> {
+        pulse.every(LOOK, () -> {
             if (current != null && clock.now() - current.heard > SILENT) {
                 current.end("silent");
             }
--- a/src/main/java/trestlegrade/sidecar/Lane.java
+++ b/src/main/java/trestlegrade/sidecar/Lane.java
@@ -32,8 +32,8 @@
     private final Owner owner;
     private Buffer body;
     long idleSince;
-    /** Whether the loop has looked for bytes since the last answer, and found none. */
-    boolean rested;
+    /** Of the loop, when it was last released. */
+    long idleTurn;
     int carried;
     Hop hop;
     /** Why it ends, once this side has decided that; else the endpoint did. */
