--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -1,6 +1,7 @@
 package trestlegrade.sidecar;
 
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerResponse;
@@ -97,14 +98,14 @@
     private final Map<HttpConnection, Connection> open = new LinkedHashMap<>();
     private boolean keep;
 
-    Clients(Pulse pulse, Clock clock, Counters counters, Descriptors descriptors, Lateness lateness,
+    Clients(Vertx vertx, Clock clock, Counters counters, Descriptors descriptors, Lateness lateness,
             Consumer<Exchange> left) {
         this.clock = clock;
         this.counters = counters;
         this.descriptors = descriptors;
         this.lateness = lateness;
         this.left = left;
-        pulse.every(LOOK, this::look);
+        vertx.setPeriodic(LOOK, t -> look());
     }
 
     // Milliseconds; a tenth of the time below.
--- a/src/main/java/trestlegrade/sidecar/Counters.java
+++ b/src/main/java/trestlegrade/sidecar/Counters.java
@@ -16,21 +16,14 @@
     static final class Turns {
         private final LongAdder all = new LongAdder();
         private final LongAdder idle = new LongAdder();
-        private final ThreadLocal<long[]> own = ThreadLocal.withInitial(() -> new long[1]);
 
         void count(int handled) {
-            own.get()[0]++;
             all.increment();
             if (handled == 0) {
                 idle.increment();
             }
         }
 
-        /** Of the loop that asks. */
-        long here() {
-            return own.get()[0];
-        }
-
         long all() {
             return all.sum();
         }
--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -25,8 +25,7 @@
     private long version;
     private Watch current;
 
-    Discovery(Vertx vertx, Pulse pulse, Clock clock, Counters counters, SocketAddress address, long version,
-              Desk desk) {
+    Discovery(Vertx vertx, Clock clock, Counters counters, SocketAddress address, long version, Desk desk) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
@@ -35,7 +34,7 @@
         this.desk = desk;
         client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false)
                 .setConnectTimeout(CONNECT_WITHIN));
-        pulse.every(LOOK, () -> {
+        vertx.setPeriodic(LOOK, t -> {
             if (current != null && clock.now() - current.heard > SILENT) {
                 current.end("silent");
             }
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -91,7 +91,7 @@
 
     private static final Buffer NOTHING = Buffer.buffer();
 
-    Front(Vertx vertx, Pulse pulse, Clock clock, Counters counters, Desk desk, Roster roster, Commission commission,
+    Front(Vertx vertx, Clock clock, Counters counters, Desk desk, Roster roster, Commission commission,
           Descriptors descriptors, Lateness lateness) {
         this.vertx = vertx;
         this.clock = clock;
@@ -100,7 +100,7 @@
         this.roster = roster;
         this.lateness = lateness;
         adopt(commission);
-        clients = new Clients(pulse, clock, counters, descriptors, lateness, this::left);
+        clients = new Clients(vertx, clock, counters, descriptors, lateness, this::left);
         HttpServerOptions options = new HttpServerOptions().setHost(commission.listen().host())
                 .setPort(commission.listen().port()).setTcpNoDelay(true).setHttp2ClearTextEnabled(false)
                 .setHandle100ContinueAutomatically(true).setAcceptBacklog(BACKLOG)
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -34,10 +34,9 @@
     private long connectWithin;
     private long idleFor;
     private final Descriptors descriptors;
-    private final Pulse pulse;
-    private final Runnable sweeper = this::sweep;
+    private final long sweeper;
 
-    Hops(Vertx vertx, Pulse pulse, Clock clock, Counters counters, Ends ends, Commission commission) {
+    Hops(Vertx vertx, Clock clock, Counters counters, Ends ends, Commission commission) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
@@ -46,8 +45,7 @@
         adopt(commission);
         trusted = idleFor;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
-        this.pulse = pulse;
-        pulse.every(SWEEP, sweeper);
+        sweeper = vertx.setPeriodic(SWEEP, t -> sweep());
     }
 
     /** New settings: for connections from now on, and for how long those that are open may stand idle. */
@@ -112,11 +110,11 @@
                 if (lane.closed || lane.reason != null || now - lane.idleSince > idleFor) {
                     each.remove();
                     lane.close("idle");
-                } else if (rested(lane, now) && now - lane.idleSince > SETTLED
+                } else if (lane.rested && now - lane.idleSince > SETTLED
                         && (repeatable || now - lane.idleSince < trusted)) {
                     each.remove();
                     return lane;
-                } else if (young == null && rested(lane, now)) {
+                } else if (lane.rested && young == null) {
                     young = lane;
                 }
             }
@@ -211,22 +209,14 @@
             idle.put(lane.endpoint.id, free);
         }
         free.addLast(lane);
-        lane.idleTurn = counters.turns.here();
+        // Endpoints close lanes right after an answer, or send more than one: a hop written before that has been
+        // read is lost, or gets another's answer. The loop reads between two timers that follow each other.
+        lane.rested = false;
+        vertx.setTimer(REST, t -> vertx.setTimer(REST, u -> lane.rested = true));
     }
 
-    /**
-     * Endpoints close lanes right after an answer, or send more than one: a hop written before that has been read is
-     * lost, or gets another's answer. The loop must have looked at its sockets once more. Timers told that before, two
-     * for each hop, and each cost a turn of the loop of its own.
-     */
-    private boolean rested(Lane lane, long now) {
-        return now - lane.idleSince >= REST && counters.turns.here() - lane.idleTurn >= LOOKS;
-    }
-
-    // Two milliseconds. What an endpoint does right behind an answer is there by then.
-    private static final long REST = 20;
-    // The turn that brought the answer ends as the first; in the one behind it all that had come was read.
-    private static final long LOOKS = 2;
+    // Milliseconds. What an endpoint does right behind an answer is there by then.
+    private static final long REST = 1;
 
     /** Closes the connections that have stood idle since before the time given. */
     private void dropIdle(Endpoint endpoint, String why, long before) {
@@ -343,7 +333,7 @@
 
     /** No more hops: ends all connections. */
     void close() {
-        pulse.drop(sweeper);
+        vertx.cancelTimer(sweeper);
         for (var each : idle) {
             new ArrayList<>(each.value).forEach(lane -> lane.close("ended"));
         }
--- a/src/main/java/trestlegrade/sidecar/Lane.java
+++ b/src/main/java/trestlegrade/sidecar/Lane.java
@@ -32,8 +32,8 @@
     private final Owner owner;
     private Buffer body;
     long idleSince;
-    /** Of the loop, when it was last released. */
-    long idleTurn;
+    /** Whether the loop has looked for bytes since the last answer, and found none. */
+    boolean rested;
     int carried;
     Hop hop;
     /** Why it ends, once this side has decided that; else the endpoint did. */
--- a/src/main/java/trestlegrade/sidecar/Lateness.java
+++ b/src/main/java/trestlegrade/sidecar/Lateness.java
@@ -1,5 +1,6 @@
 package trestlegrade.sidecar;
 
+import io.vertx.core.Vertx;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -7,7 +8,8 @@
  * and what is due may be done so much later: a transaction's end has to lie before its client's by that.
  */
 final class Lateness {
-    private static final long PULSE = 10 * Pulse.PERIOD;
+    // Short against any wait of a client, and twenty timers a second cost next to nothing.
+    private static final long PULSE = 500;
     private static final long SECOND = 10_000;
 
     private final Clock clock;
@@ -16,14 +18,14 @@
     private long worst;
     private long worstAt;
 
-    Lateness(Pulse pulse, Clock clock, Histogram seen) {
+    Lateness(Vertx vertx, Clock clock, Histogram seen) {
         this.clock = clock;
         this.seen = seen;
         last = clock.now();
-        pulse.every(Pulse.PERIOD, this::look);
+        vertx.setPeriodic(PULSE / 10, t -> pulse());
     }
 
-    private void look() {
+    private void pulse() {
         long now = clock.now();
         long behind = Math.max(0, now - last - PULSE);
         seen.recordValue(Math.min(behind, seen.getHighestTrackableValue()));
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -45,12 +45,12 @@
     private int ended;
     private boolean enough;
 
-    Rehearsal(Vertx vertx, Pulse pulse, Context context, Clock clock, Commission commission, LogLines log) {
+    Rehearsal(Vertx vertx, Context context, Clock clock, Commission commission, LogLines log) {
         this.clock = clock;
         this.commission = commission;
         Counters counters = new Counters(log);
         desk = new Desk(vertx, context, clock, counters, commission.terms(), commission.seed());
-        hops = new Hops(vertx, pulse, clock, counters, desk::hopEnded, commission);
+        hops = new Hops(vertx, clock, counters, desk::hopEnded, commission);
         roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, log);
         quickRound = quickRound(commission.agreedRate());
         begun = clock.now();
