A client that left while its transaction waited: nothing is sent for it any more

Ruled out: waiting for a server (Balance.waiting) and for a retry, both clean before; kept as tests.

A hop of a transaction that has its answer is not written either where calling off is barred.

--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -119,7 +119,7 @@
         return open.get(connection);
     }
 
-    void connected(HttpConnection connection) {
+    Connection connected(HttpConnection connection) {
         Connection client = new Connection(connection, clock.now());
         open.put(connection, client);
         connection.exceptionHandler(e -> { });
@@ -137,6 +137,7 @@
             // The last few are kept to answer those that there is no room for.
             client.reason = "too-many";
         }
+        return client;
     }
 
     private static final int SPARE = 8;
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -26,6 +26,7 @@
     private final Context context;
     private final Clock clock;
     private final Counters counters;
+    private final Lateness lateness;
     private final Queue<Runnable> in = new ConcurrentLinkedQueue<>();
     /** What the list says goes before all else: after a stall a transaction must not go by the old list. */
     private final Queue<Runnable> list = new ConcurrentLinkedQueue<>();
@@ -40,11 +41,13 @@
     private long now;
     private long nextId;
 
-    Desk(Vertx vertx, Context context, Clock clock, Counters counters, Terms terms, long seed) {
+    Desk(Vertx vertx, Context context, Clock clock, Counters counters, Lateness lateness, Terms terms,
+         long seed) {
         this.vertx = vertx;
         this.context = context;
         this.clock = clock;
         this.counters = counters;
+        this.lateness = lateness;
         tenure = new Tenure(terms, seed);
     }
 
@@ -81,7 +84,9 @@
 
     void arrived(Exchange exchange) {
         put(() -> {
-            if (exchange.over()) {
+            if (!exchange.wanted()) {
+                // Its client left while it waited here, or before it was read.
+                exchange.clientLeft(counters);
                 return;
             }
             exchange.id = ++nextId;
@@ -96,14 +101,18 @@
 
     void clientLeft(Exchange exchange) {
         put(() -> {
-            if (!exchange.over()) {
-                exchange.clientLeft(counters);
-                exchange.tenure.balance.clientLeft(now, exchange.id);
-                forget(exchange);
-            }
+            leave(exchange);
+            forget(exchange);
         });
     }
 
+    private void leave(Exchange exchange) {
+        if (!exchange.over()) {
+            exchange.clientLeft(counters);
+            exchange.tenure.balance.clientLeft(now, exchange.id);
+        }
+    }
+
     void hopEnded(Hop hop, Outcome outcome) {
         put(() -> {
             Exchange exchange = hop.exchange;
@@ -115,6 +124,10 @@
                 counters.hopTook.recordValue(Math.min(clock.now() - hop.sent,
                         counters.hopTook.getHighestTrackableValue()));
             }
+            if (!exchange.wanted()) {
+                // Before the decisions think of a further hop: that the client left may be told behind this.
+                leave(exchange);
+            }
             exchange.tenure.balance.hopEnded(now, exchange.id, hop.number, outcome, clock.now() - hop.sent,
                     exchange.over());
             forget(exchange);
@@ -160,7 +173,7 @@
     private void put(Queue<Runnable> queue, Runnable event) {
         queue.add(event);
         if (called.compareAndSet(false, true)) {
-            context.runOnContext(v -> turn());
+            context.runOnContext(v -> lateness.caughtUp(this::turn));
         }
     }
 
@@ -199,7 +212,7 @@
             Hop hop = new Hop(exchange, exchange.hops.size(), roster.endpoint(endpoint), clock.now());
             exchange.hops.add(hop);
             exchange.out++;
-            hops.send(hop, exchange.over() ? 0 : timeout);
+            hops.send(hop, exchange.wanted() ? timeout : 0);
         }
 
         @Override
--- a/src/main/java/trestlegrade/sidecar/Exchange.java
+++ b/src/main/java/trestlegrade/sidecar/Exchange.java
@@ -61,6 +61,11 @@
         return over;
     }
 
+    /** Whether anything may be written for it: its final answer is open, and somebody waits for it. */
+    boolean wanted() {
+        return !over && !client.gone();
+    }
+
     void commit(MultiMap answerHead, Buffer answer, Counters counters) {
         if (ends(counters)) {
             counters.committed++;
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -107,9 +107,10 @@
                 // No client speaks WebSocket here, so no head need pass the library's reader of its extensions.
                 .setPerFrameWebSocketCompressionSupported(false).setPerMessageWebSocketCompressionSupported(false);
         server = vertx.createHttpServer(options);
+        Turnstile.Held held = new Turnstile.Held();
         server.connectionHandler(connection -> {
-            StrictDecoder.on(connection, options);
-            clients.connected(connection);
+            Connection client = clients.connected(connection);
+            StrictDecoder.on(connection, options, held, () -> client.reason = "too-far-ahead");
         });
         server.invalidRequestHandler(this::malformed);
         server.requestHandler(this::request);
@@ -180,7 +181,8 @@
         String target = request.uri();
         Connection client = clients.of(request.connection());
         HttpServerResponse response = request.response();
-        if (client.ending()) {
+        if (client == null || client.ending()) {
+            // Its connection has ended, or does with the answer before this one.
             return;
         }
         if (target.equals("/_health")) {
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -28,6 +28,7 @@
     private final Vertx vertx;
     private final Clock clock;
     private final Counters counters;
+    private final Lateness lateness;
     private final Ends ends;
     private final NetClient client;
     private final LongObjectHashMap<Deque<Lane>> idle = new LongObjectHashMap<>();
@@ -36,10 +37,11 @@
     private final Descriptors descriptors;
     private final long sweeper;
 
-    Hops(Vertx vertx, Clock clock, Counters counters, Ends ends, Commission commission) {
+    Hops(Vertx vertx, Clock clock, Counters counters, Lateness lateness, Ends ends, Commission commission) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
+        this.lateness = lateness;
         this.ends = ends;
         descriptors = Descriptors.forHops(commission.sockets());
         adopt(commission);
@@ -161,22 +163,32 @@
             }
             Lane lane = new Lane(endpoint, (NetSocketInternal) up.result(), clock.now(), this);
             lane.whenClosed(() -> closed(lane));
-            if (!endpoint.active) {
-                lane.close("gone");
-                settle(hop, Outcome.NOT_SENT);
-            } else if (clock.now() - asked > 20 * connectWithin) {
-                // The loop stood still, which is not the endpoint's doing: what the list says may have come in since
-                // and not been read.
-                settle(hop, Outcome.NOT_SENT);
-                release(lane);
-            } else if (hop.ended) {
-                release(lane);
-            } else {
-                write(hop, lane);
-            }
+            lateness.caughtUp(() -> connected(hop, lane, asked));
         });
     }
 
+    /**
+     * Whatever came while the connection did: the hop was ended, its transaction has its answer or its client left (the
+     * decisions call hops off only where that is allowed, but of this one nothing is written yet), or the list said
+     * that the endpoint drains.
+     */
+    private void connected(Hop hop, Lane lane, long asked) {
+        if (!lane.endpoint.active) {
+            lane.close("gone");
+            settle(hop, Outcome.NOT_SENT);
+        } else if (lane.closed) {
+            settle(hop, Outcome.NO_CONNECTION);
+        } else if (hop.ended) {
+            release(lane);
+        } else if (!hop.exchange.wanted() || clock.now() - asked > 20 * connectWithin) {
+            // Or the loop stood still, which is not the endpoint's doing.
+            settle(hop, Outcome.NOT_SENT);
+            release(lane);
+        } else {
+            write(hop, lane);
+        }
+    }
+
     private void closed(Lane lane) {
         descriptors.giveBack();
         lane.closed = true;
--- a/src/main/java/trestlegrade/sidecar/Lateness.java
+++ b/src/main/java/trestlegrade/sidecar/Lateness.java
@@ -12,6 +12,7 @@
     private static final long PULSE = 500;
     private static final long SECOND = 10_000;
 
+    private final Vertx vertx;
     private final Clock clock;
     private final Histogram seen;
     private long last;
@@ -19,6 +20,7 @@
     private long worstAt;
 
     Lateness(Vertx vertx, Clock clock, Histogram seen) {
+        this.vertx = vertx;
         this.clock = clock;
         this.seen = seen;
         last = clock.now();
@@ -48,6 +50,22 @@
         return Math.max(now - last - PULSE, now - worstAt < PULSE ? worst : 0);
     }
 
+    /**
+     * Does it at once, or after a stall once all sockets have been read twice more: what waits there (a word of the
+     * list, a client's end behind its last bytes) may be older than what this would do, and forbid it. The loop
+     * reads between two timers that follow each other.
+     */
+    void caughtUp(Runnable then) {
+        if (unread() <= STALL) {
+            then.run();
+        } else {
+            vertx.setTimer(1, t -> vertx.setTimer(1, u -> then.run()));
+        }
+    }
+
+    // Less than any time limit of the rules, with its slack; a loop with a part of a core is usually later than half.
+    private static final long STALL = 500;
+
     private long lately(long now) {
         return worst >> Math.min(62, (now - worstAt) / SECOND);
     }
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -45,12 +45,13 @@
     private int ended;
     private boolean enough;
 
-    Rehearsal(Vertx vertx, Context context, Clock clock, Commission commission, LogLines log) {
+    Rehearsal(Vertx vertx, Context context, Clock clock, Lateness lateness, Commission commission,
+              LogLines log) {
         this.clock = clock;
         this.commission = commission;
         Counters counters = new Counters(log);
-        desk = new Desk(vertx, context, clock, counters, commission.terms(), commission.seed());
-        hops = new Hops(vertx, clock, counters, desk::hopEnded, commission);
+        desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
+        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission);
         roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, log);
         quickRound = quickRound(commission.agreedRate());
         begun = clock.now();
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -126,13 +126,13 @@
     Future<Integer> start(Vertx vertx, Context context) {
         Clock clock = new Clock();
         long begun = clock.now();
-        desk = new Desk(vertx, context, clock, counters, commission.terms(), commission.seed());
-        hops = new Hops(vertx, clock, counters, desk::hopEnded, commission);
+        Lateness lateness = new Lateness(vertx, clock, counters.loopLate);
+        desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
+        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission);
         Roster roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, log);
         discovery = new Discovery(vertx, clock, counters, commission.discovery(),
                 commission.version(), desk);
-        front = new Front(vertx, clock, counters, desk, roster, commission, clients,
-                new Lateness(vertx, clock, counters.loopLate));
+        front = new Front(vertx, clock, counters, desk, roster, commission, clients, lateness);
         desk.start(roster, hops, discovery::watch, commission.known());
         return front.listen()
                 .onFailure(e -> log.add(() -> Logger.error("serve code=listen-failed listen={} cause={}",
@@ -140,7 +140,7 @@
                 .compose(up -> {
                     log.add(() -> Logger.info("serve code=listening name={} listen={}", commission.name(),
                             commission.listen()));
-                    return new Rehearsal(vertx, context, clock, commission, log).play();
+                    return new Rehearsal(vertx, context, clock, lateness, commission, log).play();
                 })
                 .onSuccess(played -> {
                     front.ready();
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/GoneClientIT.java
@@ -0,0 +1,234 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.json.JsonArray;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A client leaves while its transaction waits: in each place where one can wait nothing is written for it from then on,
+ * whether the settings allow to call hops off or not. The client's end is known before the wait ends, in each test.
+ */
+class GoneClientIT extends Loopback {
+
+    private void terms(boolean cancelling) {
+        settings().getJsonObject("ceilings").put("cancelling", cancelling).put("dial_timeout", 8_000);
+        settings().put("profiles", new JsonArray(settings().getJsonArray("profiles").encode()
+                .replaceAll("\"(hard_limit|service_goal)\":\\d+", "\"$1\":40000")));
+    }
+
+    private void known(String... clients) {
+        eventually(() -> counters().getLong("clients_left", 0L) == clients.length);
+    }
+
+    /** Whatever was to be written for the others would have been by then. */
+    private void another() throws Exception {
+        assertTrue(client().ask(transaction("quote", "another", 9_000)).startsWith("HTTP/1.1 200 "));
+    }
+
+    /** The endpoint's queue is full, so connections to it come up only once the test has made room. */
+    @ParameterizedTest
+    @CsvSource({"true, quote", "false, quote", "true, post-charge", "false, post-charge"})
+    void whileItsHopConnects(boolean cancelling, String profile) throws Exception {
+        terms(cancelling);
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> queue = new ArrayList<>();
+            for (int i = 0; i < 2; i++) {
+                queue.add(new Socket(InetAddress.getLoopbackAddress(), full.getLocalPort()));
+            }
+            endpoint(r -> answer(200, "", "good")).close();
+            known = new JsonArray().add(entry(0, "active").put("address", "127.0.0.1:" + full.getLocalPort()));
+            serve();
+            Client client = client();
+            client.write(transaction(profile, "t", 30_000));
+            eventually(() -> counters().getLong("connects", 0L) == 1);
+            client.close();
+            known("t");
+            for (Socket each : queue) {
+                each.close();
+                full.accept().close();
+            }
+            // The kernel asks anew after one, three or seven seconds.
+            Socket up = full.accept();
+            up.setSoTimeout(1_000);
+            int first;
+            try {
+                first = up.getInputStream().read();
+            } catch (java.net.SocketTimeoutException e) {
+                first = -1;
+            }
+            assertEquals(-1, first, "written for a client that had left");
+            up.close();
+        }
+        assertEquals(0, counters().getLong("hops_sent"));
+    }
+
+    /** No endpoint may take it until the list brings one. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whileThereIsNoEndpointForIt(boolean cancelling) throws Exception {
+        terms(cancelling);
+        Stub endpoint = endpoint(r -> answer(200, "", "good"));
+        known = new JsonArray().add(entry(0, "leaving"));
+        start();
+        within(10_000, () -> health() == 503);
+        eventually(() -> !discovery.seen.isEmpty());
+        Client client = client();
+        client.write(transaction("quote", "t", 30_000));
+        eventually(() -> counters().getLong("taken", 0L) == 1);
+        client.close();
+        known("t");
+        discovery.line(list(8, false, entry(0, "active")));
+        eventually(() -> health() == 200);
+        another();
+        assertEquals(1, endpoint.seen.size());
+    }
+
+    /** The hop before ends once the client has left. */
+    @ParameterizedTest
+    @CsvSource({"true, turned-away", "false, turned-away", "true, breaks", "false, breaks"})
+    void whileItsHopIsOutThatWouldBeRepeated(boolean cancelling, String end) throws Exception {
+        terms(cancelling);
+        Gate gate = new Gate();
+        Function<String, String> answers = r -> {
+            if (!"t".equals(header(r, "X-Trace-Id"))) {
+                return answer(200, "", "good");
+            }
+            gate.pass();
+            return end.equals("breaks") ? CLOSE : answer(503, "X-Never-Ran: 1\r\n", "");
+        };
+        Stub first = endpoint(answers);
+        Stub second = endpoint(answers);
+        serve();
+        Client client = client();
+        client.write(transaction("quote", "t", 30_000));
+        eventually(() -> first.saw("t") || second.saw("t"));
+        client.close();
+        known("t");
+        gate.open();
+        eventually(() -> counters().getJsonObject("hops_ended").size() > 0);
+        another();
+        assertEquals(2, first.seen.size() + second.seen.size());
+    }
+
+    /** The process stands still while the client sends, and goes; both wait for the same turn of the loop. */
+    @ParameterizedTest
+    @CsvSource({"true, false", "false, false", "true, true", "false, true"})
+    void beforeItIsRead(boolean cancelling, boolean reset) throws Exception {
+        terms(cancelling);
+        Stub endpoint = endpoint(r -> answer(200, "", "good"));
+        serve();
+        another();
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            clients.add(client());
+        }
+        // Accepted, so that each connection is looked at on its own.
+        clients.forEach(each -> each.tries(transaction("quote", "warm" + clients.indexOf(each), 9_000)));
+        int before = endpoint.seen.size();
+        signal("STOP");
+        eventually(this::stopped);
+        for (Client each : clients) {
+            each.write(transaction("quote", "t" + clients.indexOf(each), 30_000));
+            each.leave(reset);
+        }
+        pause(400);
+        signal("CONT");
+        eventually(() -> counters().getJsonObject("connections_ended").stream()
+                .filter(e -> e.getKey().startsWith("client:client-")).mapToLong(e -> (Integer) e.getValue()).sum() >= 20);
+        another();
+        assertEquals(before + 1, endpoint.seen.size(), () -> endpoint.seen.stream()
+                .map(r -> header(r, "X-Trace-Id")).toList().toString());
+    }
+
+    /** Sent ahead on one connection: the first is out, the others wait behind it. */
+    @ParameterizedTest
+    @CsvSource({"true, 3", "false, 3", "true, 400", "false, 400"})
+    void behindAnotherOnItsConnection(boolean cancelling, int ahead) throws Exception {
+        terms(cancelling);
+        Gate gate = new Gate();
+        Stub endpoint = endpoint(r -> {
+            if ("t0".equals(header(r, "X-Trace-Id"))) {
+                gate.pass();
+            }
+            return answer(200, "", "good");
+        });
+        serve();
+        Client client = client();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < ahead; i++) {
+            all.append(transaction("quote", "t" + i, 30_000));
+        }
+        client.write(all.toString());
+        eventually(() -> endpoint.saw("t0"));
+        client.close();
+        known("t0");
+        gate.open();
+        eventually(() -> cancelling || counters().getJsonObject("hops_ended").size() > 0);
+        another();
+        assertEquals(2, endpoint.seen.size());
+        assertEquals(2, counters().getLong("taken"));
+    }
+
+    /** What is sent ahead by a client that stays is answered, in order. */
+    @Test
+    void thoseSentAheadByOneThatStaysAreServedInOrder() throws Exception {
+        Stub endpoint = endpoint(r -> answer(200, "", header(r, "X-Trace-Id")));
+        serve();
+        Client client = client();
+        for (int round = 0; round < 5; round++) {
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 30; i++) {
+                all.append(transaction(i % 3 == 0 ? "post-charge" : "quote", "t" + round + "-" + i, 9_000));
+            }
+            client.write(all.toString());
+            for (int i = 0; i < 30; i++) {
+                String got = client.read();
+                assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("\r\n\r\nt" + round + "-" + i), got);
+            }
+        }
+        assertEquals(150, endpoint.seen.size());
+    }
+
+    /** Beyond what is held for one connection it ends with an answer; what was not answered was not begun. */
+    @Test
+    void oneThatSendsFarTooMuchAheadIsAnsweredForAWhile() throws Exception {
+        terms(true);
+        Gate gate = new Gate();
+        Stub endpoint = endpoint(r -> {
+            if ("t0".equals(header(r, "X-Trace-Id"))) {
+                gate.pass();
+            }
+            return answer(200, "", header(r, "X-Trace-Id"));
+        });
+        serve();
+        Client client = client();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 1_000; i++) {
+            all.append(transaction("quote", "t" + i, 30_000));
+        }
+        client.write(all.toString());
+        eventually(() -> endpoint.saw("t0"));
+        assertTrue(client().ask(transaction("quote", "another", 9_000)).startsWith("HTTP/1.1 200 "));
+        gate.open();
+        int answered = 0;
+        int committed = 0;
+        for (String got = client.read(); !got.isEmpty(); got = client.read()) {
+            assertTrue(got.endsWith("\r\n\r\nt" + answered++) || got.startsWith("HTTP/1.1 503 "), got);
+            committed += got.startsWith("HTTP/1.1 200 ") ? 1 : 0;
+        }
+        assertTrue(answered > 100 && answered < 500 && committed > 100, answered + " answered");
+        assertEquals(committed + 1, endpoint.seen.size());
+        assertEquals(1, counters().getJsonObject("connections_ended").getLong("client:too-far-ahead"));
+    }
+}
