Lists: read in any layout, versions move with what was applied, quiet watches replaced early

Causes, by reading and confirmed by tests on the program as it was: - Discovery took each line for an object, so an indented list ended the watch as malformed, over and over; - it took over the index before the entries were known to be usable: a line without them was lost for good; - an unreadable entry that said "leaving" of a known endpoint was dropped, and in a whole list its endpoint was forgotten; a number in place of a name was taken for a name, and drove out the endpoint at that address; - silence was noticed after 4.5 s, then came a back-off of up to 0.75 s, up to 1 s to connect and a queue at discovery (nine sidecars at three calls a second: 3 s): 9.35 s at the worst, with a grace of 0.5 s against 6.55 s; - where lists are pushed, a watch that ended was opened after 0.25 to 2.5 s, though what the agent has counts all the while, and a new process served by the list that it was given before the agent's had come.

Change: ListReader (the library's JSON parser, one object at a time, 4 MiB at the most, no parser for empty lines); the version moves once the entries are at the desk; Roster.keep; a second watch is opened beside one that is quiet for 2.5 s (one empty line and half a second; 6.6 s at the worst in the sum above) and takes its place with its first bytes; pushed lists are watched again after 10 ms, doubling to 100, and a new process listens once the list has come, or after 2 s.

--- a/src/main/java/trestlegrade/sidecar/Counters.java
+++ b/src/main/java/trestlegrade/sidecar/Counters.java
@@ -41,6 +41,8 @@
     long noDescriptor;
     long listLines;
     long watches;
+    long badLines;
+    long badEntries;
     /** Tenths of a millisecond, to two digits up to a minute. */
     final Histogram hopTook = new Histogram(600_000, 2);
     final Histogram loopLate = new Histogram(600_000, 2);
@@ -84,7 +86,7 @@
                 .put("abandoned", abandoned).put("clients_left", clientsLeft).put("rejected", refusals)
                 .put("hops_sent", sent).put("hops_ended", ends).put("connects", connects)
                 .put("no_descriptor", noDescriptor).put("connections_ended", codes)
-                .put("list_lines", listLines).put("watches", watches)
+                .put("list_lines", listLines).put("watches", watches).put("list_lines_bad", badLines).put("list_entries_bad", badEntries)
                 .put("loop_turns", turns.all()).put("loop_turns_idle", turns.idle.sum())
                 .put("log_lines_dropped", log.dropped())
                 .put("hop_ms", milliseconds(hopTook)).put("loop_late_ms", milliseconds(loopLate));
--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -1,7 +1,8 @@
 package trestlegrade.sidecar;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientOptions;
@@ -9,44 +10,80 @@
 import io.vertx.core.http.HttpConnectOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.SocketAddress;
-import io.vertx.core.parsetools.RecordParser;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
 import org.tinylog.Logger;
+import trestlegrade.Terms;
 
 /** Watches discovery for changes of the list, one watch at a time; the desk says when to ask again. */
 final class Discovery {
     private final Vertx vertx;
     private final Clock clock;
     private final Counters counters;
+    private final Lateness lateness;
     private SocketAddress address;
     private final HttpClientAgent client;
     private final Desk desk;
     private long version;
     private Watch current;
+    /** Takes the place of one that has gone quiet, once it has brought something itself. */
+    private Watch spare;
+    private long spareNotBefore;
 
-    Discovery(Vertx vertx, Clock clock, Counters counters, SocketAddress address, long version, Desk desk) {
+    Discovery(Vertx vertx, Clock clock, Counters counters, Lateness lateness, SocketAddress address, long version,
+              Desk desk) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
+        this.lateness = lateness;
         this.address = address;
         this.version = version;
         this.desk = desk;
-        client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false)
-                .setConnectTimeout(CONNECT_WITHIN));
-        vertx.setPeriodic(LOOK, t -> {
-            if (current != null && clock.now() - current.heard > SILENT) {
-                current.end("silent");
-            }
-        });
+        client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false));
+        // After a stall what has come is read first.
+        vertx.setPeriodic(LOOK, t -> lateness.caughtUp(this::look));
+    }
+
+    /**
+     * A watch that has fallen silent brings nothing any more, and what it misses counts as told six seconds after its
+     * last word. All sidecars' may fall silent at once, and discovery answers a few calls a second: so one is opened
+     * beside it as soon as one empty line is missing. The old one stays until that has brought something, for it may
+     * only be late.
+     */
+    private void look() {
+        if (current == null) {
+            return;
+        }
+        long now = clock.now();
+        long quiet = now - current.heard;
+        if (quiet > SILENT) {
+            current.end("silent");
+        } else if (quiet > DOUBTFUL && current.answered && spare == null && now >= spareNotBefore) {
+            counters.watches++;
+            spare = new Watch();
+            spare.begin();
+        }
+    }
+
+    private void replaceOther(Watch speaking) {
+        if (spare == speaking) {
+            Watch old = current;
+            current = speaking;
+            spare = null;
+            old.end("silent");
+        }
     }
 
     private static final long LOOK = 100;
     // Two of the empty lines that come every 2 s are missing then; a call waits for its turn no longer.
     private static final long SILENT = 45_000;
+    // One of them is; half a second is left to a line that is late. A call that has no answer yet waits for its turn.
+    private static final long DOUBTFUL = 25_000;
     private static final int CONNECT_WITHIN = 1_000;
-    // A list of ten thousand endpoints.
-    private static final int LONGEST_LINE = 2 << 20;
 
     /** Asks for changes from the last version on, unless a watch is under way already. */
     void watch() {
@@ -66,11 +103,12 @@
     /** Another place to ask, from now on. The list and its version stay: it is one service for all. */
     void moveTo(SocketAddress to) {
         if (!to.equals(address)) {
-            Watch old = current;
+            List<Watch> old = new ArrayList<>();
+            old.add(current);
+            old.add(spare);
             current = null;
-            if (old != null) {
-                old.end("moved");
-            }
+            spare = null;
+            old.stream().filter(Objects::nonNull).forEach(each -> each.end("moved"));
             address = to;
             notBefore = 0;
             watch();
@@ -82,11 +120,41 @@
     private static final long APART = 10_000;
     private long notBefore;
 
+    // Where lists are pushed, what the agent beside this sidecar has counts as told whether a watch is open or not,
+    // and a call costs nobody else: a hundredth of a second first, and much less than any grace for drains at the last.
+    private static final long FIRST_PAUSE = 100;
+    private static final long LAST_PAUSE = 1_000;
+    private static final int AGENT_CONNECTS_WITHIN = 100;
+    private boolean pushed;
+    private long pause = FIRST_PAUSE;
+    private final Promise<Void> firstWord = Promise.promise();
+
+    /** Settings hold, from now on. */
+    void adopt(Terms terms) {
+        pushed = !terms.listOnRequest();
+    }
+
+    /**
+     * Done once the list may be relied on: where it is pushed a new process is held to what the agent has from its
+     * first moment, whatever list it was given. An agent that says nothing is waited for this long at the most.
+     */
+    Future<Void> relied() {
+        if (!pushed) {
+            return Future.succeededFuture();
+        }
+        vertx.setTimer(AGENT_ANSWERS_WITHIN, t -> firstWord.tryComplete());
+        return firstWord.future();
+    }
+
+    // Milliseconds; an agent answers in a few, and nobody is served meanwhile.
+    private static final long AGENT_ANSWERS_WITHIN = 2_000;
+
     private final class Watch {
         private long opened = clock.now();
         private long heard = opened;
         private int heardLines;
         private HttpClientConnection connection;
+        private boolean answered;
         private boolean ended;
 
         void begin() {
@@ -96,7 +164,8 @@
             opened = clock.now();
             heard = opened;
             client.connect(new HttpConnectOptions().setServer(address).setHost(address.host())
-                    .setPort(address.port())).onComplete(up -> {
+                    .setPort(address.port()).setConnectTimeout(pushed ? AGENT_CONNECTS_WITHIN : CONNECT_WITHIN))
+                    .onComplete(up -> {
                         if (up.failed()) {
                             end("connect-failed");
                             return;
@@ -126,30 +195,51 @@
         }
 
         private void read(HttpClientResponse response) {
-            RecordParser lines = RecordParser.newDelimited("\n").maxRecordSize(LONGEST_LINE);
-            lines.handler(this::line);
-            lines.exceptionHandler(e -> end("malformed"));
+            answered = true;
+            heard = clock.now();
+            ListReader reader = new ListReader(this::told);
             response.exceptionHandler(e -> end("closed"));
             response.endHandler(v -> end("closed"));
-            response.handler(lines);
+            response.handler(bytes -> {
+                heard = clock.now();
+                replaceOther(this);
+                try {
+                    if (!ended) {
+                        reader.read(bytes);
+                    }
+                } catch (RuntimeException e) {
+                    unusable(e.getMessage());
+                }
+            });
         }
 
-        private void line(Buffer line) {
-            heard = clock.now();
-            String text = line.toString().strip();
-            if (ended || text.isEmpty()) {
+        /** The version moves with what was taken over alone: what was not is asked for again. */
+        private void told(JsonObject line) {
+            if (ended) {
                 return;
             }
-            try {
-                JsonObject told = new JsonObject(text);
-                version = told.getLong("index");
-                heardLines++;
-                counters.listLines++;
-                desk.listed(told.getJsonArray("endpoints"), told.getBoolean("snapshot", false));
-            } catch (RuntimeException e) {
-                counters.log.add(() -> Logger.warn("watch cause={}", e.getMessage()));
-                end("malformed");
+            heardLines++;
+            counters.listLines++;
+            firstWord.tryComplete();
+            pause = FIRST_PAUSE;
+            boolean indexed = line.getValue("index") instanceof Number;
+            boolean scoped = line.getValue("snapshot", false) instanceof Boolean;
+            if (line.getValue("endpoints") instanceof JsonArray entries) {
+                // One that does not say whether it is whole must not drop what it leaves out.
+                desk.listed(entries, scoped && line.getBoolean("snapshot", false));
+                if (indexed && scoped) {
+                    version = line.getLong("index");
+                    return;
+                }
             }
+            unusable(indexed ? scoped ? "endpoints: must be an array" : "snapshot: must be true or false"
+                    : "index: must be a number");
+        }
+
+        private void unusable(String cause) {
+            counters.badLines++;
+            counters.log.add(() -> Logger.warn("list code=bad-line cause={}", cause));
+            end("malformed");
         }
 
         void end(String code) {
@@ -162,10 +252,20 @@
             if (connection != null) {
                 connection.close();
             }
-            if (current == this) {
-                current = null;
-                notBefore = heardLines > 0 ? opened + APART : 0;
-                desk.listFailed();
+            if (spare == this) {
+                spare = null;
+                spareNotBefore = clock.now() + APART;
+            } else if (current == this) {
+                current = spare;
+                spare = null;
+                if (current == null && pushed) {
+                    notBefore = clock.now() + pause;
+                    pause = Math.min(2 * pause, LAST_PAUSE);
+                    watch();
+                } else if (current == null) {
+                    notBefore = heardLines > 0 ? opened + APART : 0;
+                    desk.listFailed();
+                }
             }
         }
     }
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -52,7 +52,7 @@
         Counters counters = new Counters(log);
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
         hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission);
-        roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, log);
+        roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, counters);
         quickRound = quickRound(commission.agreedRate());
         begun = clock.now();
         roundBegun = begun;
--- a/src/main/java/trestlegrade/sidecar/Roster.java
+++ b/src/main/java/trestlegrade/sidecar/Roster.java
@@ -39,14 +39,14 @@
     private final List<String> zones;
     private final List<String> kinds;
     private final Watcher watcher;
-    private final LogLines log;
+    private final Counters counters;
     private int passes;
 
-    Roster(List<String> zones, List<String> kinds, Watcher watcher, LogLines log) {
+    Roster(List<String> zones, List<String> kinds, Watcher watcher, Counters counters) {
         this.zones = new ArrayList<>(zones);
         this.kinds = new ArrayList<>(kinds);
         this.watcher = watcher;
-        this.log = log;
+        this.counters = counters;
     }
 
     /** All that have not left, as they were last listed. */
@@ -85,7 +85,11 @@
                 take(entries.getJsonObject(i), rows);
             } catch (RuntimeException e) {
                 Object entry = entries.getValue(i);
-                log.add(() -> Logger.warn("list code=bad-entry entry={}", entry));
+                counters.badEntries++;
+                counters.log.add(() -> Logger.warn("list code=bad-entry cause={} entry={}", e.getMessage(), entry));
+                if (entry instanceof JsonObject told) {
+                    keep(told, rows);
+                }
             }
         }
         if (whole) {
@@ -100,6 +104,41 @@
         return rows;
     }
 
+    /**
+     * Of an entry that cannot be read two things hold all the same, if it tells whose it is by name or else by address:
+     * that the endpoint drains or has left, or that it is still there, as it was last listed.
+     */
+    private void keep(JsonObject told, List<Listed> rows) {
+        Endpoint known = told.getValue("name") instanceof String name ? byId.get(id(name))
+                : told.getValue("address") instanceof String address ? at(address) : null;
+        if (known == null) {
+            return;
+        }
+        known.pass = passes;
+        Object status = told.getValue("status");
+        if ("left".equals(status)) {
+            rows.add(new Listed(known.id, 0, 0, 0, Listed.State.GONE, 0, 0));
+            remove(known);
+        } else {
+            boolean goes = status instanceof String && !"active".equals(status);
+            known.row = goes ? known.row.draining() : known.row;
+            rows.add(known.row);
+            if (goes && known.active) {
+                known.active = false;
+                watcher.outdated(known);
+            }
+        }
+    }
+
+    private Endpoint at(String address) {
+        for (var each : byId.values()) {
+            if (each.value.address.toString().equals(address)) {
+                return each.value;
+            }
+        }
+        return null;
+    }
+
     /** One that has left is forgotten; hops that are out to it keep it until they end. */
     private void remove(Endpoint endpoint) {
         byId.remove(endpoint.id);
@@ -124,7 +163,9 @@
     }
 
     private void take(JsonObject entry, List<Listed> rows) {
-        String name = entry.getString("name");
+        if (!(entry.getValue("name") instanceof String name)) {
+            throw new IllegalArgumentException("name: must be a text");
+        }
         long id = id(name);
         Listed.State state = switch (entry.getString("status", "")) {
             case "active" -> Listed.State.READY;
@@ -142,11 +183,15 @@
         if (endpoint == null) {
             endpoint = new Endpoint(id, name);
         }
+        double weight = entry.getDouble("weight", 1.0);
+        if (!(weight > 0 && weight < Double.POSITIVE_INFINITY)) {
+            throw new IllegalArgumentException("weight: must be above 0, not " + weight);
+        }
         long launched = entry.getLong("since_ms", 0L) * 10;
         SocketAddress address = Commission.address("address", entry.getString("address"));
         Listed row = new Listed(id, index(zones, entry.getString("zone")),
                 index(kinds, entry.getString("type")), entry.getInteger("group", 0), state,
-                entry.getDouble("weight", 1.0), launched);
+                weight, launched);
         boolean outdated = endpoint.active && (state != Listed.State.READY || launched != endpoint.launched
                 || !address.equals(endpoint.address));
         endpoint.address = address;
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -129,12 +129,13 @@
         Lateness lateness = new Lateness(vertx, clock, counters.loopLate);
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
         hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission);
-        Roster roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, log);
-        discovery = new Discovery(vertx, clock, counters, commission.discovery(),
+        Roster roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, counters);
+        discovery = new Discovery(vertx, clock, counters, lateness, commission.discovery(),
                 commission.version(), desk);
+        discovery.adopt(commission.terms());
         front = new Front(vertx, clock, counters, desk, roster, commission, clients, lateness);
         desk.start(roster, hops, discovery::watch, commission.known());
-        return front.listen()
+        return discovery.relied().compose(v -> front.listen())
                 .onFailure(e -> log.add(() -> Logger.error("serve code=listen-failed listen={} cause={}",
                         commission.listen(), e.getMessage())))
                 .compose(up -> {
@@ -177,6 +178,7 @@
             inForce = told;
             hops.adopt(told);
             front.adopt(told);
+            discovery.adopt(told.terms());
             desk.adopt(told.terms(), commission.seed(),
                     told.zones().isEmpty() ? null : told.zones().get(told.terms().zone()));
             int open = desk.open();
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/ListReaderTest.java
@@ -0,0 +1,70 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ListReaderTest {
+    private static final List<JsonObject> LINES = List.of(
+            new JsonObject().put("index", 8).put("snapshot", true).put("endpoints", new JsonArray()
+                    .add(new JsonObject().put("name", "s-{\"}]\\").put("zone", "gr\u00f6\u00dfte"))
+                    .add(new JsonObject().put("name", "\n\t ").put("weight", 1.5))),
+            new JsonObject().put("index", 9).put("endpoints", new JsonArray()),
+            new JsonObject().put("index", 1L << 40).put("x", new JsonObject().put("y", new JsonArray().add("[{"))));
+
+    /** However the objects are laid out and wherever the bytes are cut, each is told with its last byte. */
+    @ParameterizedTest
+    @ValueSource(strings = {"lines", "indented", "indented, CRLF", "no space between", "empty lines between"})
+    void objectsAreToldAsTheyEnd(String layout) {
+        List<byte[]> parts = new ArrayList<>();
+        for (JsonObject line : LINES) {
+            String text = layout.startsWith("indented") ? line.encodePrettily() : line.encode();
+            String between = switch (layout) {
+                case "no space between" -> "";
+                case "empty lines between" -> "\n\n \r\n\n";
+                default -> "\n";
+            };
+            parts.add(((layout.contains("CRLF") ? text.replace("\n", "\r\n") : text) + between)
+                    .getBytes(StandardCharsets.UTF_8));
+        }
+        for (int length = 1; length < parts.get(0).length + 2; length++) {
+            List<JsonObject> told = new ArrayList<>();
+            ListReader reader = new ListReader(told::add);
+            for (int i = 0; i < parts.size(); i++) {
+                byte[] part = parts.get(i);
+                for (int at = 0; at < part.length; at += length) {
+                    reader.read(Buffer.buffer(part).slice(at, Math.min(part.length, at + length)));
+                }
+                assertEquals(LINES.subList(0, i + 1), told, "cut every " + length + " bytes");
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"nonsense\n", "[]", "7 ", "\"text\"", "{\"index\":}", "}", "{\"a\":1]", "null\n",
+        "[{\"index\":1}]", "{\"a\":\"\u0001\"}"})
+    void whatIsNoObjectThrows(String text) {
+        assertThrows(RuntimeException.class, () -> new ListReader(told -> { }).read(Buffer.buffer(text)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"a\":\"", "{\"a\":[", "{", "{\"a\":1,"})
+    void anObjectWithoutAnEndIsNotHeldForEver(String start) {
+        ListReader reader = new ListReader(told -> { });
+        String more = start.contains("\"a\":\"") ? "x" : start.contains("[") ? "1," : " ";
+        reader.read(Buffer.buffer(start));
+        assertThrows(RuntimeException.class, () -> {
+            for (int i = 0; i < 50; i++) {
+                reader.read(Buffer.buffer(more.repeat(100_000)));
+            }
+        });
+    }
+}
--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -17,7 +17,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -343,15 +345,27 @@
             return seen.stream().anyMatch(s -> trace.equals(header(s, "X-Trace-Id")));
         }
 
-        /** One line to the latest watch, which begins with the first of them. */
+        /** One line to the latest watch. */
         void line(String text) throws IOException {
-            OutputStream out = sockets.get(sockets.size() - 1).getOutputStream();
+            write(sockets.size() - 1, text + "\n");
+        }
+
+        /** A part of what a watch brings, in a chunk of its own; its head goes before the first. */
+        void write(int watch, String text) throws IOException {
+            Socket socket = sockets.get(watch);
             String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-            String chunk = Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n";
-            out.write(((begun++ == 0 ? head : "") + chunk).getBytes(StandardCharsets.ISO_8859_1));
+            String chunk = Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+            socket.getOutputStream().write(((begun.add(socket) ? head : "") + chunk)
+                    .getBytes(StandardCharsets.ISO_8859_1));
         }
 
-        private int begun;
+        private final Set<Socket> begun = new HashSet<>();
+
+        /** Ends a connection, at once with all that is on its way or with a reset behind it. */
+        void end(int connection, boolean reset) throws IOException {
+            sockets.get(connection).setSoLinger(reset, 0);
+            sockets.get(connection).close();
+        }
 
         void dropAll() throws IOException {
             for (Socket each : sockets) {
