The end of the program lets in, reads and answers all first; lanes rest 30 ms for every hop

Causes, by reading, each forced by a test (EndsIT, LanesIT): - Front.leave: with a longest limit of 0.3 s the program ended at 0.5 s (GRACE) whatever was unread, though clients are expected up to 0.4 s, the listener stayed until 0.6 s and SIGKILL comes at 1.0 s; what came during a stall was lost; - server.shutdown reset those in the listener's queue (one is let in a turn, none while all descriptors are held); - the limit of settings before a SIGHUP moved the end past the kill that follows the new ones; - each SIGHUP is read on a thread of its own: the file read first could be taken over last; one that came before the start was queued was ignored; - a repeatable hop took a lane again 2 ms after its answer: a second answer 8 ms late was given to the next transaction.

Change: the end closes once (listener's queue drained, sockets read twice, idle connections closed, the others with their answer), and ends when no connection is open, at the latest 50 ms before it is killed. Only the settings in force count for it. Rereading is serialized, behind the start. A lane rests 30 ms and one read more for all hops (hops that may not be repeated did before); Clients' regular look reads first after a stall.

--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -105,7 +105,8 @@
         this.descriptors = descriptors;
         this.lateness = lateness;
         this.left = left;
-        vertx.setPeriodic(LOOK, t -> look());
+        // What came during a stall is read before its connection is taken for one that brings nothing.
+        vertx.setPeriodic(LOOK, t -> lateness.caughtUp(this::look));
     }
 
     // Milliseconds; a tenth of the time below.
--- a/src/main/java/trestlegrade/sidecar/Door.java
+++ b/src/main/java/trestlegrade/sidecar/Door.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vertx.core.transport.Transport;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Vert.x's usual transport, but its loop sleeps between timers ({@link Naps}), and its listener accepts no
@@ -19,6 +20,7 @@
     private final io.vertx.core.spi.transport.Transport usual = Transport.NIO.implementation();
     private final Descriptors descriptors;
     private final Counters.Turns turns;
+    private volatile Listener listener;
 
     Door(Descriptors descriptors, Counters.Turns turns) {
         this.descriptors = descriptors;
@@ -50,13 +52,42 @@
         };
     }
 
+    /**
+     * Ends the listener once nobody waits in its queue: with it the kernel resets those that it has let in and the
+     * program has not, and what they have sent is lost. At the last moment it ends whoever waits. {@code then} is told
+     * from the listener's own loop.
+     */
+    void shut(Clock clock, long lastMoment, Runnable then) {
+        Listener open = listener;
+        if (open == null) {
+            then.run();
+        } else {
+            open.eventLoop().execute(() -> open.drain(clock, lastMoment, then));
+        }
+    }
+
     private final class Listener extends NioServerSocketChannel {
+        private int letIn;
+
         Listener() {
             // One at a time, so that each is counted before the next is accepted.
             config().setMaxMessagesPerRead(1);
+            listener = this;
             descriptors.whenFree(() -> config().setAutoRead(true));
         }
 
+        private void drain(Clock clock, long lastMoment, Runnable then) {
+            int before = letIn;
+            // The loop looks at its sockets between two timers that follow each other.
+            eventLoop().schedule(() -> eventLoop().schedule(() -> {
+                if (before == letIn && !descriptors.full() || clock.now() >= lastMoment) {
+                    close().addListener(closed -> then.run());
+                } else {
+                    drain(clock, lastMoment, then);
+                }
+            }, 1, TimeUnit.MILLISECONDS), 1, TimeUnit.MILLISECONDS);
+        }
+
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
             if (descriptors.full()) {
@@ -70,6 +101,7 @@
             int count = super.doReadMessages(accepted);
             for (Object each : accepted.subList(before, accepted.size())) {
                 descriptors.take();
+                letIn++;
                 ((Channel) each).closeFuture().addListener(closed -> descriptors.giveBack());
             }
             return count;
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -1,5 +1,6 @@
 package trestlegrade.sidecar;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -16,7 +17,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import trestlegrade.Terms.Profile;
 import trestlegrade.Terms.Repeat;
 import trestlegrade.sidecar.Clients.Connection;
@@ -27,13 +27,13 @@
     static final int LONGEST_BODY = 64 << 10;
 
     private final Vertx vertx;
+    private final Context context;
     private final Clock clock;
     private final Counters counters;
     private final Desk desk;
     private final Roster roster;
     private Commission commission;
-    /** Until when what was taken under earlier settings may last. */
-    private long earlierLast;
+    private final Door door;
     private final Lateness lateness;
     private Map<String, Integer> profiles;
     private Map<String, Integer> customers;
@@ -45,6 +45,8 @@
     private boolean leaving;
     private boolean lingered;
     private boolean closing;
+    /** Whether the listener has ended. */
+    private boolean shut;
     private long lastAnswer = Long.MAX_VALUE;
 
     /** The way back to the application; one transaction at a time is under way on a connection. */
@@ -91,13 +93,15 @@
 
     private static final Buffer NOTHING = Buffer.buffer();
 
-    Front(Vertx vertx, Clock clock, Counters counters, Desk desk, Roster roster, Commission commission,
-          Descriptors descriptors, Lateness lateness) {
+    Front(Vertx vertx, Context context, Clock clock, Counters counters, Desk desk, Roster roster, Commission commission,
+          Descriptors descriptors, Door door, Lateness lateness) {
         this.vertx = vertx;
+        this.context = context;
         this.clock = clock;
         this.counters = counters;
         this.desk = desk;
         this.roster = roster;
+        this.door = door;
         this.lateness = lateness;
         adopt(commission);
         clients = new Clients(vertx, clock, counters, descriptors, lateness, this::left);
@@ -118,9 +122,6 @@
 
     /** New settings, for what is taken from now on. */
     void adopt(Commission told) {
-        if (commission != null) {
-            earlierLast = Math.max(earlierLast, clock.now() + commission.longestLimit() * 10);
-        }
         commission = told;
         profiles = numbered(told.profiles());
         customers = numbered(told.customers());
@@ -136,34 +137,56 @@
     /**
      * SIGTERM has come, and the program is killed once the longest hard limit and a little more have passed: all is
      * served until then as before, for nobody else serves these clients. Late enough that the last transactions have
-     * half of their goal the listener ends, idle connections are closed, and each other one with its next
-     * answer. Returns the milliseconds until all is answered.
+     * half of their goal, or once no client is left, it closes: the listener ends when its queue is empty, idle
+     * connections are closed, each other one with its next answer, and {@code ended} is told when none is open. What
+     * is in the kernel when the program ends is lost, so it ends for any other reason only just before it is killed.
      */
-    long leave() {
+    void leave(Runnable ended) {
         leaving = true;
         clients.keep();
-        long limit = Math.min(LONGEST, Math.max(commission.longestLimit(), (earlierLast - clock.now()) / 10));
-        long answered = limit + GRACE;
-        lastAnswer = clock.now() + (answered - LAST_WORDS) * 10;
+        long limit = Math.min(LONGEST, commission.longestLimit());
+        long answered = Math.max(limit, LINGER) + LAST_WORDS;
+        lastAnswer = clock.now() + answered * 10;
         desk.endBy(lastAnswer);
-        vertx.setTimer(Math.max(LINGER, answered - commission.longestGoal() / 2), t -> {
-            closing = true;
-            server.shutdown(limit, TimeUnit.MILLISECONDS);
-            clients.leave();
-        });
         vertx.setTimer(LINGER, t -> lingered = true);
-        return answered;
+        vertx.setTimer(Math.max(LINGER, answered + LAST_WORDS - commission.longestGoal() / 2), t -> close());
+        vertx.setTimer(limit + KILLED - HALT, t -> ended.run());
+        vertx.setPeriodic(10, t -> {
+            if (shut && clients.isEmpty()) {
+                ended.run();
+            } else if (lingered && clients.isEmpty()) {
+                close();
+            }
+        });
+    }
+
+    private void close() {
+        if (!closing) {
+            closing = true;
+            // What those that stay have sent so far is read before they are taken for idle, and so is what the last
+            // newcomers bring.
+            lateness.afterReading(clients::leave);
+            door.shut(clock, lastAnswer + LATECOMERS, () -> context.runOnContext(v -> lateness.afterReading(() -> {
+                clients.leave();
+                shut = true;
+            })));
+        }
     }
 
     // However long clients wait, the operators allow three seconds for it: with hard limits of 10 s what was open was
     // killed unanswered.
     private static final long LONGEST = 3_000;
-    // The operators kill no sooner than 700 ms after the longest hard limit. The JVM takes up to 300 ms to halt, and
-    // 200 are left over for a loop that runs late.
-    private static final long GRACE = 200;
-    // Milliseconds for the last answers to be given and written, on a loop that runs late.
+    // The operators kill no sooner than that after the longest hard limit.
+    private static final long KILLED = 700;
+    // What the last lines of the log need.
+    private static final long HALT = 50;
+    // Milliseconds for the last answers to be given and written, on a loop that runs late. With hard limits under half a
+    // second the last are given after that limit: the program is not killed before LINGER and as much again.
     private static final long LAST_WORDS = 100;
-    // Clients go on coming for up to 0.4 s; as much again is left over for a loop that runs late.
+    // Tenths of a millisecond. Those in the listener's queue while all descriptors were held are let in once the last
+    // answers have freed some; as much again is left over until the program is killed.
+    private static final long LATECOMERS = 3_000;
+    // Clients go on coming for up to 0.4 s; half as much again is left over for a loop that runs late.
     private static final long LINGER = 600;
 
     /** From now on it calls itself healthy, if it knows an endpoint. */
@@ -171,10 +194,6 @@
         ready = true;
     }
 
-    boolean empty() {
-        return lingered && clients.isEmpty();
-    }
-
     // -------------------------------------------------- transactions
 
     private void request(HttpServerRequest request) {
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -29,6 +29,7 @@
     private final Clock clock;
     private final Counters counters;
     private final Lateness lateness;
+    private final int settled;
     private final Ends ends;
     private final NetClient client;
     private final LongObjectHashMap<Deque<Lane>> idle = new LongObjectHashMap<>();
@@ -37,11 +38,13 @@
     private final Descriptors descriptors;
     private final long sweeper;
 
-    Hops(Vertx vertx, Clock clock, Counters counters, Lateness lateness, Ends ends, Commission commission) {
+    Hops(Vertx vertx, Clock clock, Counters counters, Lateness lateness, Ends ends, Commission commission,
+         int settled) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
         this.lateness = lateness;
+        this.settled = settled;
         this.ends = ends;
         descriptors = Descriptors.forHops(commission.sockets());
         adopt(commission);
@@ -96,36 +99,24 @@
 
     // -------------------------------------------------- connections
 
-    /**
-     * The one used last, for the others grow old and are dropped, so that no more stay than are needed. Endpoints
-     * that close a lane right behind an answer have done so after SETTLED; before, only hops that may be repeated
-     * are trusted to it.
-     */
+    /** The one used last, for the others grow old and are dropped, so that no more stay than are needed. */
     private Lane idleLane(Hop hop) {
         Deque<Lane> free = idle.get(hop.endpoint.id);
         long now = clock.now();
         boolean repeatable = hop.exchange.repeatable;
-        Lane young = null;
         if (free != null) {
             for (Iterator<Lane> each = free.descendingIterator(); each.hasNext();) {
                 Lane lane = each.next();
                 if (lane.closed || lane.reason != null || now - lane.idleSince > idleFor) {
                     each.remove();
                     lane.close("idle");
-                } else if (lane.rested && now - lane.idleSince > SETTLED
-                        && (repeatable || now - lane.idleSince < trusted)) {
+                } else if (lane.rested && (repeatable || now - lane.idleSince < trusted)) {
                     each.remove();
                     return lane;
-                } else if (lane.rested && young == null) {
-                    young = lane;
                 }
             }
         }
-        if (young == null || !repeatable) {
-            return null;
-        }
-        free.remove(young);
-        return young;
+        return null;
     }
 
     /**
@@ -134,7 +125,7 @@
      */
     private void brokeAt(Lane lane) {
         if (lane.carried > 1 && clock.now() - lane.hop.sent < AT_ONCE) {
-            trusted = Math.max(2 * SETTLED, Math.min(trusted, (lane.hop.sent - lane.idleSince) / 2));
+            trusted = Math.max(20 * SETTLED, Math.min(trusted, (lane.hop.sent - lane.idleSince) / 2));
         }
     }
 
@@ -144,9 +135,10 @@
     private static final double TRUST_GROWS = 1.05;
     private long trusted;
 
-    // Of 520 lanes closed behind an answer, nine in ten were within 23 ms of it and none later than 26; a hop
-    // written meanwhile may have run.
-    private static final long SETTLED = 300;
+    // Milliseconds. Of 520 lanes closed behind an answer, nine in ten were within 23 ms of it and none later than 26; a
+    // hop written meanwhile may have run. A second answer comes some milliseconds late as well, and a hop that is out by
+    // then would be given it for its own, whether it may be repeated or not.
+    static final int SETTLED = 30;
 
     private void connect(Hop hop) {
         descriptors.take();
@@ -221,15 +213,13 @@
             idle.put(lane.endpoint.id, free);
         }
         free.addLast(lane);
-        // Endpoints close lanes right after an answer, or send more than one: a hop written before that has been
-        // read is lost, or gets another's answer. The loop reads between two timers that follow each other.
-        lane.rested = false;
-        vertx.setTimer(REST, t -> vertx.setTimer(REST, u -> lane.rested = true));
+        // Endpoints close lanes behind an answer, or send more than one: a hop written before that has been read is
+        // lost, or gets another's answer. What has come by the first timer is read before the second.
+        lane.rested = lane.carried == 0;
+        int answer = ++lane.rests;
+        vertx.setTimer(settled, t -> vertx.setTimer(1, u -> lane.rested |= lane.rests == answer));
     }
 
-    // Milliseconds. What an endpoint does right behind an answer is there by then.
-    private static final long REST = 1;
-
     /** Closes the connections that have stood idle since before the time given. */
     private void dropIdle(Endpoint endpoint, String why, long before) {
         Deque<Lane> free = idle.get(endpoint.id);
--- a/src/main/java/trestlegrade/sidecar/Lane.java
+++ b/src/main/java/trestlegrade/sidecar/Lane.java
@@ -32,8 +32,9 @@
     private final Owner owner;
     private Buffer body;
     long idleSince;
-    /** Whether the loop has looked for bytes since the last answer, and found none. */
+    /** Whether the loop has looked for bytes some time after the last answer, and found none. */
     boolean rested;
+    int rests;
     int carried;
     Hop hop;
     /** Why it ends, once this side has decided that; else the endpoint did. */
--- a/src/main/java/trestlegrade/sidecar/Lateness.java
+++ b/src/main/java/trestlegrade/sidecar/Lateness.java
@@ -59,10 +59,14 @@
         if (unread() <= STALL) {
             then.run();
         } else {
-            vertx.setTimer(1, t -> vertx.setTimer(1, u -> then.run()));
+            afterReading(then);
         }
     }
 
+    void afterReading(Runnable then) {
+        vertx.setTimer(1, t -> vertx.setTimer(1, u -> then.run()));
+    }
+
     // Less than any time limit of the rules, with its slack; a loop with a part of a core is usually later than half.
     private static final long STALL = 500;
 
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -51,7 +51,8 @@
         this.commission = commission;
         Counters counters = new Counters(log);
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
-        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission);
+        // This sidecar itself sends nothing behind an answer.
+        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission, 1);
         roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, counters);
         quickRound = quickRound(commission.agreedRate());
         begun = clock.now();
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -21,6 +21,7 @@
     private final LogLines log = new LogLines();
     private final Counters counters = new Counters(log);
     private final Descriptors clients;
+    private final Door door;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch failed = new CountDownLatch(1);
     /** With the settings as they are now. */
@@ -35,6 +36,7 @@
         inForce = commission;
         this.environment = environment;
         clients = Descriptors.forClients(commission.sockets());
+        door = new Door(clients, counters.turns);
     }
 
     /** Serves until told to end; false if it could not begin. */
@@ -78,7 +80,7 @@
 
     private Vertx vertx() {
         // The loop is watched by its own counters; the library's watcher need not look.
-        return Vertx.builder().withTransport(new Door(clients, counters.turns).transport())
+        return Vertx.builder().withTransport(door.transport())
                 .with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                         .setInternalBlockingPoolSize(1).setBlockedThreadCheckInterval(Integer.MAX_VALUE)
                         .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false)
@@ -88,8 +90,6 @@
     private boolean run() {
         Vertx vertx = vertx();
         Context context = vertx.getOrCreateContext();
-        // A JVM ends on SIGHUP unless somebody asks for it.
-        Signal.handle(new Signal("HUP"), signal -> reread(context));
         context.runOnContext(v -> {
             try {
                 start(vertx, context).onFailure(e -> failed.countDown());
@@ -98,11 +98,13 @@
                 failed.countDown();
             }
         });
+        // A JVM ends on SIGHUP unless somebody asks for it. What the file says is taken over behind the start.
+        Signal.handle(new Signal("HUP"), signal -> reread(context));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             if (failed.getCount() == 0) {
                 return;
             }
-            context.runOnContext(v -> leave(vertx));
+            context.runOnContext(v -> leave());
             await(ended);
             log.add(() -> Logger.info("serve code=ended counters={}", counters.report().encode()));
             log.flush();
@@ -128,12 +130,12 @@
         long begun = clock.now();
         Lateness lateness = new Lateness(vertx, clock, counters.loopLate);
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
-        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission);
+        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission, Hops.SETTLED);
         Roster roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, counters);
         discovery = new Discovery(vertx, clock, counters, lateness, commission.discovery(),
                 commission.version(), desk);
         discovery.adopt(commission.terms());
-        front = new Front(vertx, clock, counters, desk, roster, commission, clients, lateness);
+        front = new Front(vertx, context, clock, counters, desk, roster, commission, clients, door, lateness);
         desk.start(roster, hops, discovery::watch, commission.known());
         return discovery.relied().compose(v -> front.listen())
                 .onFailure(e -> log.add(() -> Logger.error("serve code=listen-failed listen={} cause={}",
@@ -151,10 +153,11 @@
     }
 
     /**
-     * SIGHUP: the file is read anew, on the signal's own thread. Where discovery is and the settings change under
+     * SIGHUP: the file is read anew, on the signal's own thread; each signal has one, and the one that read last must be
+     * the one that is taken over last. Where discovery is and the settings change under
      * way; all else is what this sidecar began with: another value there waits for a restart, named in the log.
      */
-    private void reread(Context context) {
+    private synchronized void reread(Context context) {
         Commission told;
         try {
             told = Commission.read(environment);
@@ -186,15 +189,10 @@
         }
     }
 
-    /** Ends once all that was taken is answered, at the latest when the last hard limit has passed. */
-    private void leave(Vertx vertx) {
+    /** Ends once all that was taken is answered, at the latest just before it is killed. */
+    private void leave() {
         int open = desk.open();
         log.add(() -> Logger.info("serve code=leaving open={}", open));
-        vertx.setTimer(front.leave(), t -> ended.countDown());
-        vertx.setPeriodic(10, t -> {
-            if (front.empty()) {
-                ended.countDown();
-            }
-        });
+        front.leave(ended::countDown);
     }
 }
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/EndsIT.java
@@ -0,0 +1,170 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The end of the program and new settings meet what is being taken, read and answered. */
+class EndsIT extends Loopback {
+    private final Stub endpoint = endpoint(r -> answer(200, "", "good"));
+
+    private static JsonObject limits(JsonObject settings, long limit, long goal) {
+        return settings.put("profiles", new JsonArray(settings.getJsonArray("profiles").encode()
+                .replaceAll("\"hard_limit\":\\d+", "\"hard_limit\":" + limit)
+                .replaceAll("\"service_goal\":\\d+", "\"service_goal\":" + goal)));
+    }
+
+    private void reread(JsonObject settings) throws Exception {
+        Path file = dir.resolve("config.json");
+        Files.writeString(file, new JsonObject(Files.readString(file)).put("settings", settings).encode());
+        int before = log().split("code=adopted", -1).length;
+        signal("HUP");
+        eventually(() -> log().split("code=adopted", -1).length == before + 1);
+    }
+
+    /** The program's own end is not what ends a client's connection: its answer is, or that it stood idle. */
+    private static void answered(Client client) throws Exception {
+        String got = client.read();
+        assertTrue(got.startsWith("HTTP/1.1 "), "'" + got + "' in place of an answer");
+    }
+
+    /** From its last connection's end on nothing can be lost: how soon the machine halts the program is not the point. */
+    private static void closedWithin(long milliseconds, long start, Client... clients) throws Exception {
+        for (Client each : clients) {
+            assertEquals("", each.read());
+        }
+        long took = (System.nanoTime() - start) / 1_000_000;
+        assertTrue(took < milliseconds, "killed after " + milliseconds + " ms, closed after " + took);
+    }
+
+    /**
+     * The process stands still when it is told to end, and until all is over by its own reckoning: what has come
+     * meanwhile, on connections it knows and on such as it has not accepted, waits for the same turn as its end.
+     */
+    @Test
+    void withShortLimitsWhatCameDuringAStallIsAnsweredBeforeTheEnd() throws Exception {
+        limits(settings(), 300, 150);
+        serve();
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            clients.add(client());
+            answered(ask(clients.get(i), "t" + i));
+        }
+        process.destroy();
+        eventually(() -> log().contains("code=leaving"));
+        signal("STOP");
+        eventually(this::stopped);
+        for (int i = 10; i < 40; i++) {
+            clients.add(client());
+        }
+        for (Client each : clients) {
+            ask(each, "u" + clients.indexOf(each));
+        }
+        // All was over by then: it ended half a second after the signal, and its clients are expected up to 0.4 s.
+        pause(700);
+        signal("CONT");
+        for (Client each : clients) {
+            answered(each);
+        }
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    private static Client ask(Client client, String trace) throws Exception {
+        client.write(transaction("quote", trace, 300));
+        return client;
+    }
+
+    /** With limits of a third of a second all goes on as long as clients come, and nothing outlives the program. */
+    @Test
+    void withShortLimitsItServesAsLongAsClientsCome() throws Exception {
+        limits(settings(), 300, 150);
+        serve();
+        Client kept = client();
+        answered(ask(kept, "t"));
+        long start = System.nanoTime();
+        process.destroy();
+        while (System.nanoTime() - start < 400_000_000L) {
+            answered(ask(client(), "u" + System.nanoTime()));
+            answered(ask(kept, "v" + System.nanoTime()));
+        }
+        endpoint.answers = r -> HANG;
+        answered(ask(kept, "w"));
+        closedWithin(1_000, start, kept);
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    /** Descriptors are full of open transactions; those that wait in the listener's queue are let in before it ends. */
+    @Test
+    void whoWaitsInTheListenersQueueIsAnsweredBeforeItEnds() throws Exception {
+        sockets = 64;
+        limits(settings(), 1_000, 400);
+        endpoint.answers = r -> HANG;
+        serve();
+        List<Client> clients = new ArrayList<>();
+        int room = Descriptors.forClients(sockets).most();
+        for (int i = 0; i < room + 10; i++) {
+            clients.add(client());
+            ask(clients.get(i), "t" + i);
+        }
+        eventually(() -> endpoint.seen.size() >= 10);
+        process.destroy();
+        for (Client each : clients) {
+            answered(each);
+        }
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    /** SIGHUP first, to shorter limits: what was taken under the longer ones must not outlive the program. */
+    @Test
+    void whatWasTakenUnderLongerLimitsIsAnsweredBeforeTheEndUnderShorterOnes() throws Exception {
+        limits(settings(), 9_000, 4_000);
+        endpoint.answers = r -> HANG;
+        serve();
+        Client client = client();
+        client.write(transaction("post-charge", "t", 8_000));
+        eventually(() -> endpoint.saw("t"));
+        reread(limits(settings().copy(), 400, 200));
+        long start = System.nanoTime();
+        process.destroy();
+        answered(client);
+        closedWithin(1_100, start, client);
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+    }
+
+    /** SIGHUP behind SIGTERM, to longer limits: what is taken under them ends with the program as well. */
+    @ParameterizedTest
+    @ValueSource(longs = {9_000, 100})
+    void newSettingsBehindTheWordToEndDoNotMoveTheEnd(long limit) throws Exception {
+        limits(settings(), 1_500, 600);
+        serve();
+        Client client = client();
+        client.ask(transaction("post-charge", "t", 1_500));
+        endpoint.answers = r -> HANG;
+        Client open = client();
+        open.write(transaction("post-charge", "u", 1_500));
+        eventually(() -> endpoint.saw("u"));
+        long start = System.nanoTime();
+        process.destroy();
+        eventually(() -> log().contains("code=leaving"));
+        reread(limits(settings().copy(), limit, limit / 2));
+        client.write(transaction("post-charge", "v", 9_000));
+        answered(client);
+        answered(open);
+        closedWithin(2_200, start, client, open);
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+}
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/LanesIT.java
@@ -0,0 +1,107 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What an endpoint sends or ends on a lane meets the next hop that would take it. */
+class LanesIT extends Loopback {
+
+    /**
+     * A second answer is written some milliseconds behind the first, when the next transaction is out already: it must
+     * not be taken for the answer to that one.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"quote", "post-charge"})
+    void aSecondAnswerThatComesLateReachesNobody(String profile) throws Exception {
+        Stub endpoint = endpoint(r -> {
+            // The next hop's own answer comes later than the stray one.
+            pause(12);
+            return answer(200, "", header(r, "X-Trace-Id"));
+        });
+        endpoint.straysAfter = 8;
+        serve();
+        Client client = client();
+        for (int i = 0; i < 60; i++) {
+            String got = client.ask(transaction(profile, "t" + i, 900));
+            assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("\r\n\r\nt" + i), got);
+        }
+        assertTrue(counters().getJsonObject("connections_ended").getLong("lane:excess") > 30,
+                () -> counters().encode());
+    }
+
+    /** The process stands still; the endpoint's end of an idle lane, and a transaction, wait for the same turn. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anIdleLaneEndsInTheTurnInWhichItWouldBeTaken(boolean reset) throws Exception {
+        Stub endpoint = endpoint(r -> answer(200, "", header(r, "X-Trace-Id")));
+        serve();
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            clients.add(client());
+            clients.get(i).ask(transaction("quote", "t" + i, 900));
+        }
+        // Rested, so that hops which may not be repeated are trusted to them too.
+        pause(100);
+        int lanes = endpoint.connections;
+        signal("STOP");
+        eventually(this::stopped);
+        for (int i = 0; i < lanes; i++) {
+            endpoint.end(i, reset);
+        }
+        for (Client each : clients) {
+            each.write(transaction("post-charge", "u" + clients.indexOf(each), 2_900));
+        }
+        pause(200);
+        signal("CONT");
+        for (Client each : clients) {
+            String got = each.read();
+            assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("u" + clients.indexOf(each)), got);
+        }
+        assertEquals(10, endpoint.seen.stream().filter(r -> r.startsWith("POST")).count());
+    }
+
+    /** The process stands still; an answer, and the end of its transaction, wait for the same turn: one of them counts. */
+    @Test
+    void anAnswerAndTheEndOfItsTransactionInOneTurn() throws Exception {
+        Gate gate = new Gate();
+        Stub endpoint = endpoint(r -> {
+            if (header(r, "X-Trace-Id").startsWith("u")) {
+                gate.pass();
+            }
+            return answer(200, "", header(r, "X-Trace-Id"));
+        });
+        serve();
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            clients.add(client());
+            clients.get(i).write(transaction(i % 2 == 0 ? "quote" : "post-charge", "u" + i, 1_000));
+        }
+        eventually(() -> endpoint.seen.size() == 20);
+        signal("STOP");
+        eventually(this::stopped);
+        gate.open();
+        // Past the ends of all, with a quarter of the wait kept before each.
+        pause(1_100);
+        signal("CONT");
+        for (Client each : clients) {
+            String got = each.read();
+            int i = clients.indexOf(each);
+            assertTrue(got.endsWith("\r\n\r\nu" + i) || got.startsWith(i % 2 == 0 ? "HTTP/1.1 503 " : "HTTP/1.1 502 "),
+                    got);
+        }
+        // One answer to each: the next on the same connection is the next one's own.
+        for (Client each : clients) {
+            String trace = "v" + clients.indexOf(each);
+            String got = each.ask(transaction("quote", trace, 900));
+            assertTrue(got.endsWith("\r\n\r\n" + trace) || got.startsWith("HTTP/1.1 503 "), got);
+        }
+        assertEquals(40, counters().getLong("committed") + counters().getLong("rolled_back")
+                + counters().getLong("abandoned"));
+    }
+}
--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -301,6 +301,8 @@
         /** Sent right behind each answer in a write of its own, or the end of the connection. */
         volatile String afterwards = HANG;
         volatile int connections;
+        /** Milliseconds behind each answer after which it is sent once more; 0 for never. */
+        volatile int straysAfter;
 
         Stub(Function<String, String> answers) {
             this.answers = answers;
@@ -332,6 +334,12 @@
                     if (afterwards != null) {
                         socket.getOutputStream().write(afterwards.getBytes(StandardCharsets.ISO_8859_1));
                     }
+                    if (straysAfter > 0) {
+                        inBackground(() -> {
+                            pause(straysAfter);
+                            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                        });
+                    }
                     if (afterwards == null || answer.endsWith("half") || answer.contains("Connection: close")) {
                         return;
                     }
