Names beyond ASCII are the settings' own; who left in the listener's queue is not sent on

- While all descriptors are held clients wait in the listener's queue, send and go there; the loop itself is not late, so their transactions were sent a turn before their end was read.
The first transaction of a connection is held for one more read when somebody waited for a descriptor in the last second.
- A watch that ends at once is opened again within a quarter of ask_within, should that be under a second.

--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -51,6 +51,10 @@
             carried++;
         }
 
+        int carried() {
+            return carried;
+        }
+
         private boolean busy() {
             return reading != null || exchange != null && !exchange.over();
         }
--- a/src/main/java/trestlegrade/sidecar/Descriptors.java
+++ b/src/main/java/trestlegrade/sidecar/Descriptors.java
@@ -41,6 +41,19 @@
         return held.get() >= most;
     }
 
+    /** Somebody waits since there is none for it. */
+    void awaited() {
+        awaitedAt = System.nanoTime();
+    }
+
+    /** Whether what begins now may have waited for one: the queue behind them is empty long before that. */
+    boolean awaitedLately() {
+        return System.nanoTime() - awaitedAt < QUEUE_EMPTIES;
+    }
+
+    private volatile long awaitedAt = System.nanoTime() - QUEUE_EMPTIES;
+    private static final long QUEUE_EMPTIES = 1_000_000_000;
+
     int most() {
         return most;
     }
--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -116,8 +116,10 @@
     }
 
     // The decisions back off from calls that fail. A watch that brings the list and ends at once, over and
-    // over, does not count as one for them, and was asked for ten times a second.
+    // over, does not count as one for them, and was asked for ten times a second. It is well within the time in which
+    // the list has to be asked for.
     private static final long APART = 10_000;
+    private long apart = APART;
     private long notBefore;
 
     // Where lists are pushed, what the agent beside this sidecar has counts as told whether a watch is open or not,
@@ -132,6 +134,7 @@
     /** Settings hold, from now on. */
     void adopt(Terms terms) {
         pushed = !terms.listOnRequest();
+        apart = Math.min(APART, terms.askWithin() / 4);
     }
 
     /**
@@ -254,7 +257,7 @@
             }
             if (spare == this) {
                 spare = null;
-                spareNotBefore = clock.now() + APART;
+                spareNotBefore = clock.now() + apart;
             } else if (current == this) {
                 current = spare;
                 spare = null;
@@ -263,7 +266,7 @@
                     pause = Math.min(2 * pause, LAST_PAUSE);
                     watch();
                 } else if (current == null) {
-                    notBefore = heardLines > 0 ? opened + APART : 0;
+                    notBefore = heardLines > 0 ? opened + apart : 0;
                     desk.listFailed();
                 }
             }
--- a/src/main/java/trestlegrade/sidecar/Door.java
+++ b/src/main/java/trestlegrade/sidecar/Door.java
@@ -93,6 +93,7 @@
             if (descriptors.full()) {
                 config().setAutoRead(false);
                 if (descriptors.full()) {
+                    descriptors.awaited();
                     return 0;
                 }
                 config().setAutoRead(true);
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -33,6 +33,7 @@
     private final Desk desk;
     private final Roster roster;
     private Commission commission;
+    private final Descriptors descriptors;
     private final Door door;
     private final Lateness lateness;
     private Map<String, Integer> profiles;
@@ -101,6 +102,7 @@
         this.counters = counters;
         this.desk = desk;
         this.roster = roster;
+        this.descriptors = descriptors;
         this.door = door;
         this.lateness = lateness;
         adopt(commission);
@@ -253,10 +255,10 @@
     private void take(HttpServerRequest request, Connection client, Buffer body) {
         String target = request.uri();
         String trace = request.getHeader("X-Trace-Id");
-        String named = request.getHeader("X-Qos");
-        Integer profile = profiles.get(named != null ? named : Heads.firstOfPath(target));
         long patience = Heads.patience(request.getHeader("X-Expires-In"));
         String uri = Heads.asSent(target);
+        String named = Heads.asSent(request.getHeader("X-Qos"));
+        Integer profile = profiles.get(named != null ? named : Heads.firstOfPath(uri == null ? target : uri));
         if (traces.contains(trace)) {
             // Somebody else's transaction is open under that id: no endpoint could tell the two apart.
             reject(request, client, 409, "id-taken");
@@ -278,7 +280,7 @@
             Exchange exchange = new Exchange(request.method().name(), uri, Heads.onward(request.headers(),
                             request.getHeader("Connection")),
                     body, profile, terms.repeat() == Repeat.IDEMPOTENT,
-                    customers.getOrDefault(request.getHeader("X-Customer"), -1),
+                    customers.getOrDefault(Heads.asSent(request.getHeader("X-Customer")), -1),
                     Heads.key(target), end,
                     Heads.cost(request.getHeader("X-Size-Hint")),
                     new Reply(client, request.response(), trace));
@@ -288,7 +290,12 @@
             if (closing) {
                 client.reason = "leaving";
             }
-            desk.arrived(exchange);
+            if (client.carried() == 1 && descriptors.awaitedLately()) {
+                // It may have waited in the listener's queue, and its client's end with it: that is read a turn later.
+                lateness.afterReading(() -> desk.arrived(exchange));
+            } else {
+                desk.arrived(exchange);
+            }
         }
     }
 
--- a/src/main/java/trestlegrade/sidecar/Heads.java
+++ b/src/main/java/trestlegrade/sidecar/Heads.java
@@ -85,9 +85,15 @@
         return 0;
     }
 
-    /** Bytes beyond ASCII come as Latin-1 and leave as UTF-8: read as that they leave as they came. */
-    static String asSent(String target) {
-        byte[] bytes = target.getBytes(StandardCharsets.ISO_8859_1);
+    /**
+     * Bytes beyond ASCII are read as Latin-1 and written as UTF-8: read as that they leave as they came, and a name is the
+     * one that the settings give. Null if there is nothing, or bytes that are no UTF-8.
+     */
+    static String asSent(String came) {
+        if (came == null) {
+            return null;
+        }
+        byte[] bytes = came.getBytes(StandardCharsets.ISO_8859_1);
         String text = new String(bytes, StandardCharsets.UTF_8);
         return Arrays.equals(bytes, text.getBytes(StandardCharsets.UTF_8)) ? text : null;
     }
