--- a/src/test/java/trestlegrade/sidecar/GoneClientIT.java
+++ b/src/test/java/trestlegrade/sidecar/GoneClientIT.java
@@ -23,8 +23,7 @@
 
     private void terms(boolean cancelling) {
         settings().getJsonObject("ceilings").put("cancelling", cancelling).put("dial_timeout", 8_000);
-        settings().put("profiles", new JsonArray(settings().getJsonArray("profiles").encode()
-                .replaceAll("\"(hard_limit|service_goal)\":\\d+", "\"$1\":40000")));
+        patient();
     }
 
     private void known(String... clients) {
--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -119,6 +119,12 @@
         return settings;
     }
 
+    /** Goals and limits of 40 s: nothing is rolled back or over because the machine is slow. */
+    void patient() {
+        settings().put("profiles", new JsonArray(settings().getJsonArray("profiles").encode()
+                .replaceAll("\"(hard_limit|service_goal)\":\\d+", "\"$1\":40000")));
+    }
+
     JsonObject entry(int endpoint, String status) {
         return new JsonObject().put("name", "s-" + endpoint)
                 .put("address", "127.0.0.1:" + endpoints.get(endpoint).port()).put("zone", "a").put("type", "m1").put("group", 0).put("status", status).put("weight", 1.0)
