At the end one just let in is given time to bring its transaction

A run of all tests had one failure, EndsIT.whoWaitsInTheListenersQueue: connection reset. By reading: Clients.leave, at the moment of closing, took a connection let in just before for idle, its transaction unread.

--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -93,6 +93,7 @@
         }
     }
 
+    private final Vertx vertx;
     private final Clock clock;
     private final Counters counters;
     private final Descriptors descriptors;
@@ -104,6 +105,7 @@
 
     Clients(Vertx vertx, Clock clock, Counters counters, Descriptors descriptors, Lateness lateness,
             Consumer<Exchange> left) {
+        this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
         this.descriptors = descriptors;
@@ -204,15 +206,25 @@
         keep = true;
     }
 
-    /** Idle connections are closed, and each other one with its next answer. */
+    /**
+     * Idle connections are closed, and each other one with its next answer. One just let in may hold its transaction
+     * unread: it is given time to bring it.
+     */
     void leave() {
+        long before = clock.now() - UNREAD - 2 * lateness.now();
+        boolean again = false;
         for (Connection client : new ArrayList<>(open.values())) {
-            if (client.busy()) {
+            boolean young = client.carried == 0 && client.used > before;
+            again |= young;
+            if (client.busy() || young) {
                 client.reason = "leaving";
             } else {
                 client.close("leaving");
             }
         }
+        if (again) {
+            vertx.setTimer(UNREAD / 10, t -> leave());
+        }
     }
 
     boolean isEmpty() {
