--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -182,8 +182,8 @@
     private static final long KILLED = 700;
     // What the last lines of the log need.
     private static final long HALT = 50;
-    // Milliseconds for the last answers to be given and written, on a loop that runs late. With hard limits under half a
-    // second the last are given after that limit: the program is not killed before LINGER and as much again.
+    // Milliseconds for the last answers to be given and written, on a loop that runs late. With hard limits under
+    // LINGER the last are given after that limit, but before the program is killed.
     private static final long LAST_WORDS = 100;
     // Tenths of a millisecond. Those in the listener's queue while all descriptors were held are let in once the last
     // answers have freed some; as much again is left over until the program is killed.
