A reset is no end: an answer without a length that it cuts is not committed

Netty's decoder emits the last part of such an answer on channelInactive, after a reset (exceptionCaught, then inactive) as after a proper end; Lane.read took it for whole. Answers now drops what is left once the connection has failed: the attempt is broken and may have run.

Hops.unfinished ended an answer one connect time after its first part, though it went on arriving or waited unread behind a stall; now the time without any byte counts, looked at after a stall only once sockets were read. It is bounded as before by the end of the transaction and 64 KiB.

Found by the test of that: Lateness.unread told a stall by the worst of late, so a second one within a second, a little shorter, passed for none, and nothing that waits for two further reads (the list first, who has left) waited. It has its own mark now.

--- a/src/main/java/trestlegrade/sidecar/Answers.java
+++ b/src/main/java/trestlegrade/sidecar/Answers.java
@@ -33,7 +33,7 @@
         /** The answer cannot be read. */
         void spoilt();
 
-        /** All that has come was read, and the answer is not whole. */
+        /** All that has come so far was read, and the answer is not whole. */
         void unfinished();
     }
 
@@ -41,6 +41,7 @@
 
     private final Reader reader;
     private boolean begun;
+    private boolean reset;
 
     Answers(Reader reader) {
         // Fields that cannot be written on are left out later (Heads): they do not spoil the answer.
@@ -78,6 +79,26 @@
         }
     }
 
+    /** A reset comes as this, and only behind it as the connection's end. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+        reset = true;
+        super.exceptionCaught(context, cause);
+    }
+
+    /**
+     * An answer without a length ends with its connection, but a reset is no end: what had come until then passed for
+     * the whole answer, and was committed cut short.
+     */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
+        if (reset) {
+            bytes.skipBytes(bytes.readableBytes());
+        } else {
+            super.decodeLast(context, bytes, out);
+        }
+    }
+
     private static boolean startsAsAnswer(ByteBuf bytes) {
         for (int i = 0; i < Math.min(START.length, bytes.readableBytes()); i++) {
             if (bytes.getByte(bytes.readerIndex() + i) != START[i]) {
--- a/src/main/java/trestlegrade/sidecar/Hop.java
+++ b/src/main/java/trestlegrade/sidecar/Hop.java
@@ -18,8 +18,9 @@
     HttpResponse head;
     Buffer answer;
     long timer = -1;
-    /** Runs while a part of the answer has come. */
+    /** Runs while a part of the answer has come, the last of it at {@code heard}. */
     long partTimer = -1;
+    long heard;
     boolean ended;
 
     Hop(Exchange exchange, int number, Endpoint endpoint, long sent) {
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -278,14 +278,30 @@
         }
     }
 
-    /** Whatever sends answers sends each in one go: a part that stays alone for long is all there will be. */
+    /**
+     * An answer that goes on arriving may take its time, to the end of its transaction and 64 KiB; a part behind which
+     * nothing comes for as long as a connection may take is all there will be. One span from the first part on ended
+     * long answers on their way, and such as waited unread while the loop stood still.
+     */
     @Override
     public void unfinished(Hop hop) {
+        hop.heard = clock.now();
         if (hop.partTimer < 0) {
-            hop.partTimer = vertx.setTimer(connectWithin, t -> spoilt(hop, "unfinished"));
+            awaitRest(hop, connectWithin);
         }
     }
 
+    private void awaitRest(Hop hop, long span) {
+        hop.partTimer = vertx.setTimer(span, t -> lateness.caughtUp(() -> {
+            long left = connectWithin - (clock.now() - hop.heard) / 10;
+            if (!hop.ended && left > 0) {
+                awaitRest(hop, left);
+            } else {
+                spoilt(hop, "unfinished");
+            }
+        }));
+    }
+
     /**
      * Ends a hop. Whether it may have run is told by its last byte: with that not written the endpoint never
      * began it. While the write is still open this waits one turn for the closed connection to fail it;
--- a/src/main/java/trestlegrade/sidecar/Lateness.java
+++ b/src/main/java/trestlegrade/sidecar/Lateness.java
@@ -16,6 +16,9 @@
     private final Clock clock;
     private final Histogram seen;
     private long last;
+    /** The worst within one pulse's time; those left out in a stall follow it at once. */
+    private long latest;
+    private long latestAt;
     private long worst;
     private long worstAt;
 
@@ -31,6 +34,10 @@
         long now = clock.now();
         long behind = Math.max(0, now - last - PULSE);
         seen.recordValue(Math.min(behind, seen.getHighestTrackableValue()));
+        if (now - latestAt >= PULSE || behind > latest) {
+            latest = behind;
+            latestAt = now;
+        }
         if (behind > lately(now)) {
             worst = behind;
             worstAt = now;
@@ -44,10 +51,13 @@
         return Math.max(lately(now), now - last - PULSE);
     }
 
-    /** How long what is read now may have waited for the loop: timers that are due may run before it is read. */
+    /**
+     * How long what is read now may have waited for the loop: timers that are due may run before it is read. Not told by
+     * the worst of late: a second stall within a second, a little shorter, passed for none.
+     */
     long unread() {
         long now = clock.now();
-        return Math.max(now - last - PULSE, now - worstAt < PULSE ? worst : 0);
+        return Math.max(now - last - PULSE, now - latestAt < PULSE ? latest : 0);
     }
 
     /**
--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -380,6 +380,11 @@
 
         private final Set<Socket> begun = new HashSet<>();
 
+        /** Bytes as they are, on the connection that came last. */
+        void send(String text) throws IOException {
+            sockets.get(sockets.size() - 1).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
         /** Ends a connection, at once with all that is on its way or with a reset behind it. */
         void end(int connection, boolean reset) throws IOException {
             sockets.get(connection).setSoLinger(reset, 0);
