Lists are asked for within 2.75 s of a failed call; unnamed customers and 1,024 zones stay apart

What discovery has counts as told 6 s after it can be reached, whatever failed before. By reckoning, worst case before: back-off 3.75 s (15 s with 40 s for asking), a second to connect, two for the call's turn; a call that is never answered was waited for 4.5 s besides. Now 2.75 s at the most, and a call that has no answer after 2.5 s is made anew beside it. A hundred that fail together still ask under 25 times a second (RulesTest as it was).

Customers that the settings do not name were counted as the first, which pushed it over its share; they have a place of their own with no share agreed. Roster merged zones and kinds beyond 256 names: 1,024 now.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -63,7 +63,7 @@
             usualGoal += (double) terms.profiles().get(i).serviceGoal() / profiles;
         }
         bare = usualAll;
-        customerArrivals = new Buckets[Math.max(1, terms.customers().size())];
+        customerArrivals = new Buckets[terms.customers().size() + 1];
         for (int i = 0; i < customerArrivals.length; i++) {
             customerArrivals[i] = new Buckets(50_000, 5);
         }
@@ -132,14 +132,17 @@
     public void listFailed(long now) {
         // Back-off doubles from half a second to a quarter of the time within which it must have been asked,
         // apart by chance. At an eighth of it a hundred that had started together asked fifty times a second,
-        // and none was served for 10 s; at a half, one that failed late hears of a drain after its grace.
-        long wait = Math.min(5_000L << Math.min(listFailures++, 6), terms.askWithin() / 4);
-        askListAt = now + wait / 2 + (long) (wait * chance.next());
+        // and none was served for 10 s. What discovery has counts as told 6 s after it can be reached again:
+        // 2.75 s at the most are waited then, which leaves a second to connect and two for the call's turn.
+        long wait = Math.min(5_000L << Math.min(listFailures++, 6), Math.min(terms.askWithin() / 4, 22_000));
+        askListAt = now + wait * 3 / 4 + (long) (wait * chance.next() / 2);
         stayAwake();
     }
 
     public void arrived(long now, long id, int profile, int customer, long key, long patience, long cost) {
-        int known = customer >= 0 && customer < customerArrivals.length ? customer : 0;
+        // Those that the settings do not name have a place of their own, behind the others.
+        int named = terms.customers().size();
+        int known = customer >= 0 && customer < named ? customer : named;
         Tx tx = new Tx(id, profile, known, now, now + patience, cost);
         keyShares.arrived();
         tx.position = terms.warmKeys() && key != 0 ? keyPosition(key) : -1;
@@ -439,9 +442,10 @@
         return commits.sum(now, span) + (jammed ? vain.sum(now, span) : 0);
     }
 
-    private boolean overShare(long now, Tx tx) {
-        return !terms.customers().isEmpty() && customerArrivals[tx.customer].total(now)
-                > 1.1 * terms.customers().get(tx.customer).share() * arrivals.total(now);
+    boolean overShare(long now, Tx tx) {
+        List<Terms.Customer> named = terms.customers();
+        double share = tx.customer < named.size() ? named.get(tx.customer).share() : 0;
+        return !named.isEmpty() && customerArrivals[tx.customer].total(now) > 1.1 * share * arrivals.total(now);
     }
 
     // Fewer commits than this tell a jam from chance no better than by a third.
--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -62,7 +62,7 @@
         long quiet = now - current.heard;
         if (quiet > SILENT) {
             current.end("silent");
-        } else if (quiet > DOUBTFUL && current.answered && spare == null && now >= spareNotBefore) {
+        } else if (quiet > DOUBTFUL && spare == null && now >= spareNotBefore) {
             counters.watches++;
             spare = new Watch();
             spare.begin();
@@ -79,9 +79,9 @@
     }
 
     private static final long LOOK = 100;
-    // Two of the empty lines that come every 2 s are missing then; a call waits for its turn no longer.
+    // Two of the empty lines that come every 2 s are missing then.
     private static final long SILENT = 45_000;
-    // One of them is; half a second is left to a line that is late. A call that has no answer yet waits for its turn.
+    // One of them is; half a second is left to a line that is late, or to a call whose turn has not come after 2 s.
     private static final long DOUBTFUL = 25_000;
     private static final int CONNECT_WITHIN = 1_000;
 
@@ -157,7 +157,6 @@
         private long heard = opened;
         private int heardLines;
         private HttpClientConnection connection;
-        private boolean answered;
         private boolean ended;
 
         void begin() {
@@ -198,7 +197,6 @@
         }
 
         private void read(HttpClientResponse response) {
-            answered = true;
             heard = clock.now();
             ListReader reader = new ListReader(this::told);
             response.exceptionHandler(e -> end("closed"));
--- a/src/main/java/trestlegrade/sidecar/Roster.java
+++ b/src/main/java/trestlegrade/sidecar/Roster.java
@@ -218,7 +218,8 @@
         return crc.getValue() << 31 ^ Integer.toUnsignedLong(name.hashCode());
     }
 
-    private static final int MOST_NAMES = 256;
+    // Fleets of some hundreds of endpoints may have nearly as many zones and kinds.
+    private static final int MOST_NAMES = 1024;
 
     private static int index(List<String> names, String name) {
         int at = names.indexOf(name);
--- a/src/test/java/trestlegrade/Desk.java
+++ b/src/test/java/trestlegrade/Desk.java
@@ -35,7 +35,7 @@
         this(seed, Group.CELL, 3);
     }
 
-    private Desk(long seed, Group group, int maxHops, String... further) {
+    Desk(long seed, Group group, int maxHops, String... further) {
         StringBuilder settings = new StringBuilder("""
                 n_instances=4
                 ceilings.cancelling=true
--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -223,6 +223,34 @@
         }
     }
 
+    /** What discovery has counts as told 6 s after it can be reached again, however long the settings leave for asking. */
+    @ParameterizedTest
+    @ValueSource(ints = {10_000, 60_000})
+    void howeverOftenItFailedTheListIsAskedForSoon(int askWithin) {
+        for (int seed = 0; seed < 50; seed++) {
+            Desk desk = new Desk(seed, Group.CELL, 3, "safety.ask_within=" + askWithin);
+            for (int i = 0; i < 12; i++) {
+                desk.balance.listFailed(desk.now);
+                int before = desk.subscriptions;
+                desk.pass(27_600);
+                assertEquals(before + 1, desk.subscriptions);
+            }
+        }
+    }
+
+    /** Those that the settings do not name are nobody's part but their own, and beyond what is agreed with anybody. */
+    @Test
+    void customersThatTheSettingsDoNotNameAreNotTheFirst() {
+        Desk desk = new Desk("tenants.count=2", "tenants.0.share=0.5", "tenants.1.share=0.5").fleet(State.READY, 0);
+        for (int i = 0; i < 100; i++) {
+            desk.balance.arrived(desk.now, 1_000 + i, 0, i % 10 == 0 ? 0 : i % 10 == 1 ? 1 : i % 10 == 2 ? 7 : -1, 0,
+                    10_000, 0);
+        }
+        assertFalse(desk.balance.overShare(desk.now, new Tx(1, 0, 0, desk.now, desk.now + 10_000, 0)));
+        assertFalse(desk.balance.overShare(desk.now, new Tx(1, 0, 1, desk.now, desk.now + 10_000, 0)));
+        assertTrue(desk.balance.overShare(desk.now, new Tx(1, 0, 2, desk.now, desk.now + 10_000, 0)));
+    }
+
     /** Discovery serves in turn and a call waits 2 s at the most: what a hundred ask of it while it fails. */
     @Test
     void manyThatFailTogetherAskSeldomAndApart() {
--- a/src/test/java/trestlegrade/sidecar/ListsIT.java
+++ b/src/test/java/trestlegrade/sidecar/ListsIT.java
@@ -8,6 +8,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -28,8 +29,17 @@
     /** Serves by the first endpoint and the second, both listed, with one watch open. */
     private void watched() throws Exception {
         patient();
-        serve();
+        start();
         eventually(() -> discovery.seen.size() == 1);
+        within(10_000, () -> {
+            try {
+                // However long the start takes, the watch is not quiet meanwhile.
+                discovery.write(0, "\n");
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return health() == 200;
+        });
     }
 
     /** How many of twenty went to each. */
@@ -210,6 +220,42 @@
         assertEquals(before, at[0].seen.size());
     }
 
+    /** A call whose turn does not come is made anew beside it, well within the 6 s after which what it misses counts as told. */
+    @Test
+    void aCallThatIsNotAnsweredIsMadeAnewBesideIt() throws Exception {
+        start();
+        eventually(() -> discovery.seen.size() == 1);
+        long asked = System.nanoTime();
+        eventually(() -> discovery.seen.size() == 2);
+        long took = (System.nanoTime() - asked) / 1_000_000;
+        assertTrue(took > 2_000 && took < 4_000, "after " + took + " ms");
+        discovery.line(list(8, false, entry(0, "leaving")));
+        told(1);
+        assertEquals(0, shares("t")[0]);
+    }
+
+    /** Discovery is down, and idle clients take all that clients may: none of that is taken from what discovery needs. */
+    @Test
+    void idleClientsFillTheDescriptorsWhileDiscoveryIsDown() throws Exception {
+        sockets = 64;
+        watched();
+        discovery.line(list(8, false));
+        told(1);
+        discovery.answers = r -> answer(503, "", "");
+        discovery.end(0, true);
+        eventually(() -> discovery.seen.size() >= 2);
+        for (int i = 0; i < 3 * Descriptors.forClients(sockets).most(); i++) {
+            client();
+        }
+        discovery.answers = r -> HANG;
+        int before = discovery.seen.size();
+        // 2.75 s at the most, and a second for a busy machine.
+        within(3_750, () -> discovery.seen.size() > before);
+        discovery.line(list(9, false, entry(0, "leaving")));
+        told(2);
+        assertEquals(0, shares("t")[0]);
+    }
+
     /** A begin that waits for its time is not begun where discovery was before. */
     @Test
     void aMoveWhileABeginWaits() throws Exception {
