A client answered in the midst of its message is not cut off while it writes on slowly

At fault: LingeringClose closed once 0.1 s had brought nothing, also where the message was not whole, which a 413 used to wait a second for. Such a close now waits for a second without a byte, three in all.

--- a/src/main/java/trestlegrade/sidecar/LingeringClose.java
+++ b/src/main/java/trestlegrade/sidecar/LingeringClose.java
@@ -15,11 +15,14 @@
  * close over bytes that are unread resets the connection, and takes along what the client has not read of the answer.
  */
 final class LingeringClose extends ChannelDuplexHandler {
-    // Tenths of a millisecond. A client on the same machine has sent a hundred megabytes by then.
-    private static final long LONGEST = 10_000;
-    // What a client had on its way comes within a few milliseconds. Clients that keep a connection that has ended hold its
-    // descriptor for so long.
+    // Tenths of a millisecond. What a client had on its way comes within a few milliseconds. Clients that keep a connection
+    // that has ended hold its descriptor for so long.
     private static final long QUIET = 1_000;
+    private static final long LONGEST = 10_000;
+    // One that was answered in the midst of its message goes on, perhaps slowly: with 0.1 s from five to eleven of them
+    // were cut off on a day on which clients write in pieces.
+    private static final long QUIET_PARTIAL = 10_000;
+    private static final long LONGEST_PARTIAL = 30_000;
 
     private final StrictDecoder decoder;
     private final Clock clock;
@@ -75,17 +78,19 @@
         // The library may have stopped reading.
         context.channel().config().setAutoRead(true);
         ((DuplexChannel) context.channel()).shutdownOutput();
-        closeOnceQuiet(context, promise, clock.now() + LONGEST);
+        boolean partial = decoder.partial();
+        closeOnceQuiet(context, promise, partial ? QUIET_PARTIAL : QUIET,
+                clock.now() + (partial ? LONGEST_PARTIAL : LONGEST));
     }
 
-    private void closeOnceQuiet(ChannelHandlerContext context, ChannelPromise promise, long latest) {
+    private void closeOnceQuiet(ChannelHandlerContext context, ChannelPromise promise, long quiet, long latest) {
         // Behind a stall what has come is read first.
         context.executor().schedule(() -> lateness.caughtUp(() -> {
-            if (clock.now() < latest && clock.now() - decoder.heard() < QUIET) {
-                closeOnceQuiet(context, promise, latest);
+            if (clock.now() < latest && clock.now() - decoder.heard() < quiet) {
+                closeOnceQuiet(context, promise, quiet, latest);
             } else {
                 context.close(promise);
             }
-        }), QUIET / 10, TimeUnit.MILLISECONDS);
+        }), quiet / 10, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/test/java/trestlegrade/sidecar/ClientsIT.java
+++ b/src/test/java/trestlegrade/sidecar/ClientsIT.java
@@ -133,6 +133,21 @@
         }
     }
 
+    /** Its answer is there at its head; it reads that only once it has written for a while, and is not cut off meanwhile. */
+    @Test
+    void oneThatWritesTooMuchSlowlyIsAnswered() throws Exception {
+        endpoint(r -> answer(200, "", "good"));
+        serve();
+        Client client = client();
+        client.write("POST /post-charge HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t\r\nContent-Length: 70000\r\n\r\n");
+        for (int i = 0; i < 6; i++) {
+            pause(300);
+            client.write("x".repeat(100));
+        }
+        assertTrue(client.read().startsWith("HTTP/1.1 413 "));
+        assertEquals("", client.read());
+    }
+
     /** What cannot be read is answered at once; the rest, still being sent, must not take that answer along. */
     @ParameterizedTest
     @ValueSource(strings = {"two lengths", "no length", "long head"})
