A message that is too long is read to its end before this side ends its connection

Before LingeringClose it was read for a second, or to its last byte, and then closed; that is so again, and the close behind it lingers. A connection that ends in the midst of half a head without any answer is closed at once, as before.

--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -80,7 +80,7 @@
             return Math.max(used, decoder.heard());
         }
 
-        private Future<Void> send(HttpServerResponse response, int status, Buffer body, long now) {
+        Future<Void> send(HttpServerResponse response, int status, Buffer body, long now) {
             // What the client has sent ahead was taken with its last byte, and has its answer before the end.
             boolean more = decoder.waits();
             if (reason == null && !more && open.size() > descriptors.most() / CROWD) {
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -233,7 +233,7 @@
             if (body.length() + part.length() <= LONGEST_BODY) {
                 body.appendBuffer(part);
             } else {
-                reject(request, client, 413, "oversized");
+                oversized(request, client);
             }
         });
         request.exceptionHandler(e -> {
@@ -246,12 +246,15 @@
         request.endHandler(v -> {
             if (client.reading()) {
                 take(request, client, body);
+            } else {
+                // Answered before its last byte, which has come.
+                client.close(client.reason);
             }
         });
         if (request.headers().contains("Transfer-Encoding") && request.headers().contains("Content-Length")) {
             reject(request, client, 400, "malformed");
         } else if (Heads.length(request.getHeader("Content-Length")) > LONGEST_BODY) {
-            reject(request, client, 413, "oversized");
+            oversized(request, client);
         }
     }
 
@@ -324,6 +327,17 @@
         }
     }
 
+    /** The rest of the body is read and dropped for a while, and only then this side ends. */
+    private void oversized(HttpServerRequest request, Connection client) {
+        client.reason = "oversized";
+        counters.rejected(413);
+        client.send(request.response(), 413, NOTHING, clock.now());
+        vertx.setTimer(DROPPING, t -> client.close("oversized"));
+    }
+
+    // Milliseconds; a client on the same machine has sent a hundred megabytes by then.
+    private static final long DROPPING = 1_000;
+
     /** Answers what is no transaction; the connection ends with that, for what follows on it is unsure. */
     private void reject(HttpServerRequest request, Connection client, int status, String code) {
         client.reason = code;
--- a/src/main/java/trestlegrade/sidecar/LingeringClose.java
+++ b/src/main/java/trestlegrade/sidecar/LingeringClose.java
@@ -68,7 +68,8 @@
             context.channel().closeFuture().addListener(closed -> promise.trySuccess());
             return;
         }
-        if (clock.now() - answered >= QUIET || !context.channel().isActive()) {
+        boolean behindAnswer = clock.now() - answered < QUIET || decoder.partial() && answered >= decoder.begun();
+        if (!behindAnswer || !context.channel().isActive()) {
             super.close(context, promise);
             return;
         }
