--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -445,7 +445,8 @@
     boolean overShare(long now, Tx tx) {
         List<Terms.Customer> named = terms.customers();
         double share = tx.customer < named.size() ? named.get(tx.customer).share() : 0;
-        return !named.isEmpty() && customerArrivals[tx.customer].total(now) > 1.1 * share * arrivals.total(now);
+        return !named.isEmpty()
+                && customerArrivals[tx.customer].total(now) > 1.1 * share * arrivals.total(now);
     }
 
     // Fewer commits than this tell a jam from chance no better than by a third.
