--- a/src/main/java/trestlegrade/sidecar/Answers.java
+++ b/src/main/java/trestlegrade/sidecar/Answers.java
@@ -14,7 +14,7 @@
 import java.util.List;
 
 /**
- * Reads an endpoint's answers on one lane and takes nothing for an answer that is none: what comes while no hop
+ * Reads an endpoint's answers on one connection and takes nothing for an answer that is none: what comes while no hop
  * is out belongs to nobody, and what cannot be read spoils the answer at its first bytes, not at a time-out.
  */
 final class Answers extends HttpResponseDecoder {
--- a/src/main/java/trestlegrade/sidecar/Hop.java
+++ b/src/main/java/trestlegrade/sidecar/Hop.java
@@ -11,7 +11,7 @@
     final int number;
     final Endpoint endpoint;
     final long sent;
-    Lane lane;
+    PooledConnection connection;
     /** Of the last byte; null until the hop is handed to a connection. */
     Future<Void> written;
     /** Of the answer; its body is null until it is whole. */
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Hops.java
@@ -18,7 +18,7 @@
  * Carries hops to endpoints, one at a time on a connection, and tells how each ended. Connections are this
  * class's own: no library may send a hop again, queue it behind another or pick its connection.
  */
-final class Hops implements Lane.Owner {
+final class Hops implements PooledConnection.Owner {
 
     /** Who is told that a hop has ended; never called from inside {@link #send} or {@link #callOff}. */
     interface Ends {
@@ -32,7 +32,7 @@
     private final int settled;
     private final Ends ends;
     private final NetClient client;
-    private final LongObjectHashMap<Deque<Lane>> idle = new LongObjectHashMap<>();
+    private final LongObjectHashMap<Deque<PooledConnection>> idle = new LongObjectHashMap<>();
     private long connectWithin;
     private long idleFor;
     private final Descriptors descriptors;
@@ -73,9 +73,9 @@
             hop.timer = -1;
             settle(hop, Outcome.TIMED_OUT);
         });
-        Lane lane = idleLane(hop);
-        if (lane != null) {
-            write(hop, lane);
+        PooledConnection connection = idleConnection(hop);
+        if (connection != null) {
+            write(hop, connection);
         } else if (!descriptors.full() || closeOneIdle()) {
             connect(hop);
         } else {
@@ -100,19 +100,19 @@
     // -------------------------------------------------- connections
 
     /** The one used last, for the others grow old and are dropped, so that no more stay than are needed. */
-    private Lane idleLane(Hop hop) {
-        Deque<Lane> free = idle.get(hop.endpoint.id);
+    private PooledConnection idleConnection(Hop hop) {
+        Deque<PooledConnection> free = idle.get(hop.endpoint.id);
         long now = clock.now();
         boolean repeatable = hop.exchange.repeatable;
         if (free != null) {
-            for (Iterator<Lane> each = free.descendingIterator(); each.hasNext();) {
-                Lane lane = each.next();
-                if (lane.closed || lane.reason != null || now - lane.idleSince > idleFor) {
+            for (Iterator<PooledConnection> each = free.descendingIterator(); each.hasNext();) {
+                PooledConnection connection = each.next();
+                if (connection.closed || connection.reason != null || now - connection.idleSince > idleFor) {
                     each.remove();
-                    lane.close("idle");
-                } else if (lane.rested && (repeatable || now - lane.idleSince < trusted)) {
+                    connection.close("idle");
+                } else if (connection.rested && (repeatable || now - connection.idleSince < trusted)) {
                     each.remove();
-                    return lane;
+                    return connection;
                 }
             }
         }
@@ -120,24 +120,25 @@
     }
 
     /**
-     * Endpoints may end idle lanes sooner than they say, and a hop written then may have run. Once one broke at
-     * once on a lane that had been idle, hops that may not be repeated are trusted to lanes idle for half as long.
+     * Endpoints may end idle connections sooner than they say, and a hop written then may have run. Once one broke
+     * at once on a connection that had been idle, hops that may not be repeated are trusted to those idle for half as
+     * long.
      */
-    private void brokeAt(Lane lane) {
-        if (lane.carried > 1 && clock.now() - lane.hop.sent < AT_ONCE) {
-            trusted = Math.max(20 * SETTLED, Math.min(trusted, (lane.hop.sent - lane.idleSince) / 2));
+    private void brokeAt(PooledConnection connection) {
+        if (connection.carried > 1 && clock.now() - connection.hop.sent < AT_ONCE) {
+            trusted = Math.max(20 * SETTLED, Math.min(trusted, (connection.hop.sent - connection.idleSince) / 2));
         }
     }
 
-    // Five milliseconds: an endpoint that has begun on a hop breaks later than one whose lane was already closed.
+    // Five milliseconds: an endpoint that has begun on a hop breaks later than one that had closed the connection.
     private static final long AT_ONCE = 50;
     // At each sweep: doubled in seven seconds without a further break.
     private static final double TRUST_GROWS = 1.05;
     private long trusted;
 
-    // Milliseconds. Of 520 lanes closed behind an answer, nine in ten were within 23 ms of it and none later than 26; a
-    // hop written meanwhile may have run. A second answer comes some milliseconds late as well, and a hop that is out by
-    // then would be given it for its own, whether it may be repeated or not.
+    // Milliseconds. Of 520 connections closed behind an answer, nine in ten were within 23 ms of it and none later than
+    // 26; a hop written meanwhile may have run. A second answer comes some milliseconds late as well, and a hop that is
+    // out by then would be given it for its own, whether it may be repeated or not.
     static final int SETTLED = 30;
 
     private void connect(Hop hop) {
@@ -149,13 +150,14 @@
                 .onComplete(up -> {
             if (up.failed()) {
                 descriptors.giveBack();
-                counters.ended("lane", "connect-failed", endpoint.name, 0, clock.now() - asked);
+                counters.ended("pooled", "connect-failed", endpoint.name, 0, clock.now() - asked);
                 settle(hop, Outcome.NO_CONNECTION);
                 return;
             }
-            Lane lane = new Lane(endpoint, (NetSocketInternal) up.result(), clock.now(), this);
-            lane.whenClosed(() -> closed(lane));
-            lateness.caughtUp(() -> connected(hop, lane, asked));
+            PooledConnection connection =
+                    new PooledConnection(endpoint, (NetSocketInternal) up.result(), clock.now(), this);
+            connection.whenClosed(() -> closed(connection));
+            lateness.caughtUp(() -> connected(hop, connection, asked));
         });
     }
 
@@ -164,65 +166,66 @@
      * decisions call hops off only where that is allowed, but of this one nothing is written yet), or the list said
      * that the endpoint drains.
      */
-    private void connected(Hop hop, Lane lane, long asked) {
-        if (!lane.endpoint.active) {
-            lane.close("gone");
+    private void connected(Hop hop, PooledConnection connection, long asked) {
+        if (!connection.endpoint.active) {
+            connection.close("gone");
             settle(hop, Outcome.NOT_SENT);
-        } else if (lane.closed) {
+        } else if (connection.closed) {
             settle(hop, Outcome.NO_CONNECTION);
         } else if (hop.ended) {
-            release(lane);
+            release(connection);
         } else if (!hop.exchange.wanted() || clock.now() - asked > 20 * connectWithin) {
             // Or the loop stood still, which is not the endpoint's doing.
             settle(hop, Outcome.NOT_SENT);
-            release(lane);
+            release(connection);
         } else {
-            write(hop, lane);
+            write(hop, connection);
         }
     }
 
-    private void closed(Lane lane) {
+    private void closed(PooledConnection connection) {
         descriptors.giveBack();
-        lane.closed = true;
-        String code = lane.reason != null ? lane.reason : lane.hop == null ? "endpoint-closed" : "broken";
-        counters.ended("lane", code, lane.endpoint.name, lane.carried, clock.now() - lane.opened);
-        Deque<Lane> free = idle.get(lane.endpoint.id);
+        connection.closed = true;
+        String code = connection.reason != null ? connection.reason
+                : connection.hop == null ? "endpoint-closed" : "broken";
+        counters.ended("pooled", code, connection.endpoint.name, connection.carried, clock.now() - connection.opened);
+        Deque<PooledConnection> free = idle.get(connection.endpoint.id);
         if (free != null) {
-            free.remove(lane);
+            free.remove(connection);
         }
-        if (lane.hop != null) {
-            brokeAt(lane);
-            lane.reason = code;
-            settle(lane.hop, Outcome.BROKEN);
+        if (connection.hop != null) {
+            brokeAt(connection);
+            connection.reason = code;
+            settle(connection.hop, Outcome.BROKEN);
         }
     }
 
-    private void release(Lane lane) {
-        lane.hop = null;
-        if (lane.closed || lane.reason != null) {
+    private void release(PooledConnection connection) {
+        connection.hop = null;
+        if (connection.closed || connection.reason != null) {
             return;
         }
-        if (!lane.endpoint.active) {
-            lane.close("gone");
+        if (!connection.endpoint.active) {
+            connection.close("gone");
             return;
         }
-        lane.idleSince = clock.now();
-        Deque<Lane> free = idle.get(lane.endpoint.id);
+        connection.idleSince = clock.now();
+        Deque<PooledConnection> free = idle.get(connection.endpoint.id);
         if (free == null) {
             free = new ArrayDeque<>();
-            idle.put(lane.endpoint.id, free);
+            idle.put(connection.endpoint.id, free);
         }
-        free.addLast(lane);
-        // Endpoints close lanes behind an answer, or send more than one: a hop written before that has been read is
-        // lost, or gets another's answer. What has come by the first timer is read before the second.
-        lane.rested = lane.carried == 0;
-        int answer = ++lane.rests;
-        vertx.setTimer(settled, t -> vertx.setTimer(1, u -> lane.rested |= lane.rests == answer));
+        free.addLast(connection);
+        // Endpoints close connections behind an answer, or send more than one: a hop written before that has been read
+        // is lost, or gets another's answer. What has come by the first timer is read before the second.
+        connection.rested = connection.carried == 0;
+        int answer = ++connection.rests;
+        vertx.setTimer(settled, t -> vertx.setTimer(1, u -> connection.rested |= connection.rests == answer));
     }
 
     /** Closes the connections that have stood idle since before the time given. */
     private void dropIdle(Endpoint endpoint, String why, long before) {
-        Deque<Lane> free = idle.get(endpoint.id);
+        Deque<PooledConnection> free = idle.get(endpoint.id);
         while (free != null && !free.isEmpty() && free.peekFirst().idleSince < before) {
             free.pollFirst().close(why);
         }
@@ -231,9 +234,9 @@
     /** Makes room by giving up an idle connection. */
     private boolean closeOneIdle() {
         for (var each : idle) {
-            Lane lane = each.value.pollFirst();
-            if (lane != null) {
-                lane.close("room");
+            PooledConnection connection = each.value.pollFirst();
+            if (connection != null) {
+                connection.close("room");
                 return true;
             }
         }
@@ -252,10 +255,10 @@
 
     // -------------------------------------------------- hops
 
-    private void write(Hop hop, Lane lane) {
-        hop.lane = lane;
+    private void write(Hop hop, PooledConnection connection) {
+        hop.connection = connection;
         counters.sent++;
-        hop.written = lane.write(hop, clock.now());
+        hop.written = connection.write(hop, clock.now());
         hop.written.onFailure(e -> spoilt(hop, "broken"));
     }
 
@@ -263,17 +266,17 @@
     public void answered(Hop hop) {
         int status = hop.head.status().code();
         boolean neverRan = (status == 503 || status == 504) && "1".equals(hop.head.headers().get("X-Never-Ran"));
-        Lane lane = hop.lane;
+        PooledConnection connection = hop.connection;
         settle(hop, status == 200 ? Outcome.COMMITTED : neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR);
         if (!HttpUtil.isKeepAlive(hop.head)) {
-            lane.close("endpoint-closes");
+            connection.close("endpoint-closes");
         }
     }
 
     @Override
     public void spoilt(Hop hop, String why) {
         if (!hop.ended) {
-            hop.lane.close(why);
+            hop.connection.close(why);
             settle(hop, Outcome.BROKEN);
         }
     }
@@ -314,24 +317,24 @@
         hop.ended = true;
         vertx.cancelTimer(hop.timer);
         vertx.cancelTimer(hop.partTimer);
-        Lane lane = hop.lane;
+        PooledConnection connection = hop.connection;
         boolean whole = hop.written != null && hop.written.succeeded();
         boolean answered = outcome == Outcome.COMMITTED || outcome == Outcome.TURNED_AWAY
                 || outcome == Outcome.ERROR;
-        if (lane != null) {
+        if (connection != null) {
             if (answered && whole) {
-                release(lane);
+                release(connection);
             } else {
-                lane.close(switch (outcome) {
+                connection.close(switch (outcome) {
                     case TIMED_OUT -> "timed-out";
                     case CALLED_OFF -> "called-off";
                     default -> answered ? "early-answer" : "broken";
                 });
-                lane.hop = null;
+                connection.hop = null;
             }
         }
-        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.BROKEN && hop.head == null && lane != null
-                && "broken".equals(lane.reason)) {
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.BROKEN && hop.head == null && connection != null
+                && "broken".equals(connection.reason)) {
             // Those that have not answered since may lead to a silent machine, and a new one tells before
             // anything is sent on it. To close all was half of all connections on an overloaded day.
             dropIdle(hop.endpoint, "suspect", hop.sent);
@@ -353,7 +356,7 @@
     void close() {
         vertx.cancelTimer(sweeper);
         for (var each : idle) {
-            new ArrayList<>(each.value).forEach(lane -> lane.close("ended"));
+            new ArrayList<>(each.value).forEach(connection -> connection.close("ended"));
         }
         client.close();
     }
--- a/src/main/java/trestlegrade/sidecar/Lane.java
+++ b/src/main/java/trestlegrade/sidecar/PooledConnection.java
@@ -13,13 +13,13 @@
 import trestlegrade.sidecar.Roster.Endpoint;
 
 /** One connection to an endpoint, which carries one hop at a time and reads its answer. */
-final class Lane implements Answers.Reader {
+final class PooledConnection implements Answers.Reader {
 
-    /** Told how the hop on a lane fares. */
+    /** Told how the hop on a connection fares. */
     interface Owner {
         void answered(Hop hop);
 
-        /** It may have run, and its lane is of no further use. */
+        /** It may have run, and its connection is of no further use. */
         void spoilt(Hop hop, String why);
 
         /** A part of the answer has come. */
@@ -41,7 +41,7 @@
     String reason;
     boolean closed;
 
-    Lane(Endpoint endpoint, NetSocketInternal socket, long opened, Owner owner) {
+    PooledConnection(Endpoint endpoint, NetSocketInternal socket, long opened, Owner owner) {
         this.endpoint = endpoint;
         this.socket = socket;
         this.opened = opened;
--- a/src/test/java/trestlegrade/sidecar/LanesIT.java
+++ b/src/test/java/trestlegrade/sidecar/PooledConnectionsIT.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What an endpoint sends or ends on a lane meets the next hop that would take it. */
-class LanesIT extends Loopback {
+/** What an endpoint sends or ends on a connection meets the next hop that would take it. */
+class PooledConnectionsIT extends Loopback {
 
     /**
      * A second answer is written some milliseconds behind the first, when the next transaction is out already: it must
@@ -30,17 +30,17 @@
         for (int i = 0; i < 60; i++) {
             String got = client.ask(transaction(profile, "t" + i, 900));
             assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("\r\n\r\nt" + i), got);
-            // The lane has been looked at since its answer, and the stray one is not there yet.
+            // The connection has been looked at since its answer, and the stray one is not there yet.
             pause(4);
         }
-        assertTrue(counters().getJsonObject("connections_ended").getLong("lane:excess") > 10,
+        assertTrue(counters().getJsonObject("connections_ended").getLong("pooled:excess") > 10,
                 () -> counters().encode());
     }
 
-    /** The process stands still; the endpoint's end of an idle lane, and a transaction, wait for the same turn. */
+    /** The process stands still; the end of an idle connection, and a transaction, wait for the same turn. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
-    void anIdleLaneEndsInTheTurnInWhichItWouldBeTaken(boolean reset) throws Exception {
+    void anIdleConnectionEndsInTheTurnInWhichItWouldBeTaken(boolean reset) throws Exception {
         Stub endpoint = endpoint(r -> answer(200, "", header(r, "X-Trace-Id")));
         serve();
         List<Client> clients = new ArrayList<>();
@@ -50,10 +50,10 @@
         }
         // Rested, so that hops which may not be repeated are trusted to them too.
         pause(100);
-        int lanes = endpoint.connections;
+        int pooled = endpoint.connections;
         signal("STOP");
         eventually(this::stopped);
-        for (int i = 0; i < lanes; i++) {
+        for (int i = 0; i < pooled; i++) {
             endpoint.end(i, reset);
         }
         for (Client each : clients) {
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -140,7 +140,7 @@
         assertEquals(bad.seen.size(), bad.seen.stream().map(s -> header(s, "X-Trace-Id")).distinct().count());
     }
 
-    /** A spoilt answer may have run and costs its lane, at once; the next transaction gets its own answer. */
+    /** A spoilt answer may have run and costs its connection, at once; the next transaction gets its own answer. */
     @ParameterizedTest
     @CsvSource(value = {
         "noise without an end|spoilt", "'\\r\\n'|spoilt", "HTTP/2.0 200 OK\\r\\n\\r\\n|spoilt",
@@ -171,11 +171,11 @@
             assertTrue(took < (code.equals("unfinished") ? 800 : 200), "after " + took + " ms");
             assertTrue(client.ask(transaction("post-charge", "v" + i, 500)).endsWith("v" + i));
         }
-        assertEquals(6, counters().getJsonObject("connections_ended").getLong("lane:" + code));
+        assertEquals(6, counters().getJsonObject("connections_ended").getLong("pooled:" + code));
         assertEquals(12, first.seen.size() + second.seen.size());
     }
 
-    /** Good answers with more than belongs to them count; what is beyond costs the lane, never another's answer. */
+    /** Good answers with more than belongs to them count; what is beyond costs the connection, never another's answer. */
     @ParameterizedTest
     @ValueSource(strings = {"twice", "noise behind", "later", "interim", "report", "ends"})
     void whatAnAnswerBringsBesidesReachesNobody(String fault) throws Exception {
@@ -203,7 +203,7 @@
                 }
             }
         }
-        assertTrue(kept ? endpoint.connections < 60 : endpoint.connections >= 200, endpoint.connections + " lanes");
+        assertTrue(kept ? endpoint.connections < 60 : endpoint.connections >= 200, endpoint.connections + " connections");
     }
 
     @ParameterizedTest
@@ -394,7 +394,7 @@
         Client client = client();
         for (int i = 0; i < 5; i++) {
             client.ask(transaction("quote", "t" + i, 500));
-            // A lane rests for 30 ms behind an answer.
+            // A connection rests for 30 ms behind an answer.
             pause(60);
         }
         assertEquals(1, endpoint.connections);
@@ -406,14 +406,14 @@
         assertEquals(2, endpoint.connections);
     }
 
-    /** The endpoint ends lanes that were idle for 0.15 s under the next hop: that costs one transaction, not all. */
+    /** The endpoint ends connections idle for 0.15 s under the next hop: that costs one transaction, not all. */
     @Test
-    void lanesThatBreakAfterIdlingAreNotTrustedAgain() throws Exception {
-        AtomicInteger lanes = new AtomicInteger();
+    void connectionsThatBreakAfterIdlingAreNotTrustedAgain() throws Exception {
+        AtomicInteger pooled = new AtomicInteger();
         long[] last = {System.nanoTime()};
         Stub endpoint = endpoint(r -> HANG);
         endpoint.answers = r -> {
-            boolean old = lanes.getAndSet(endpoint.connections) == endpoint.connections;
+            boolean old = pooled.getAndSet(endpoint.connections) == endpoint.connections;
             boolean idle = System.nanoTime() - last[0] > 150_000_000;
             last[0] = System.nanoTime();
             return old && idle ? CLOSE : answer(200, "", "good");
@@ -654,7 +654,7 @@
         before = first.seen.size();
         client.ask(transaction("quote", "v", 500));
         assertEquals(before + 1, first.seen.size());
-        assertTrue(log().contains("lane code=gone peer=s-0 "), log());
+        assertTrue(log().contains("pooled code=gone peer=s-0 "), log());
     }
 
     /** A watch that ends, is refused, is not one, or goes silent is asked for again, from the last version on. */
