--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -115,7 +115,7 @@
                 // No client speaks WebSocket here, so no head need pass the library's reader of its extensions.
                 .setPerFrameWebSocketCompressionSupported(false).setPerMessageWebSocketCompressionSupported(false);
         server = vertx.createHttpServer(options);
-        Turnstile.Held held = new Turnstile.Held();
+        PipeliningGate.Held held = new PipeliningGate.Held();
         server.connectionHandler(connection -> {
             StrictDecoder decoder = StrictDecoder.on(connection, options, clock, lateness, held,
                     () -> clients.of(connection).reason = "too-far-ahead");
--- a/src/main/java/trestlegrade/sidecar/Turnstile.java
+++ b/src/main/java/trestlegrade/sidecar/PipeliningGate.java
@@ -14,11 +14,12 @@
 import java.util.Map;
 
 /**
- * Lets one message at a time through to the front, the next with the answer to the one before. What a client has
- * sent ahead waits here, and the connection is read on: the library stopped reading it, so that a client's end behind
- * what it had sent was not seen, and all of it was run for nobody. With the connection's end what waits is dropped.
+ * The pipelining gate: lets one message at a time through to the front, the next with the answer to the one before.
+ * What a client has sent ahead waits here, and the connection is read on: the library stopped reading it, so that a
+ * client's end behind what it had sent was not seen, and all of it was run for nobody. With the connection's end what
+ * waits is dropped.
  */
-final class Turnstile extends ChannelDuplexHandler {
+final class PipeliningGate extends ChannelDuplexHandler {
 
     /** What all connections hold together. */
     static final class Held {
@@ -40,7 +41,7 @@
     private boolean open;
 
     /** {@code tooFar} is told before the last message is let through that will be on this connection. */
-    Turnstile(StrictDecoder decoder, Held all, Runnable tooFar) {
+    PipeliningGate(StrictDecoder decoder, Held all, Runnable tooFar) {
         this.decoder = decoder;
         this.all = all;
         this.tooFar = tooFar;
--- a/src/main/java/trestlegrade/sidecar/StrictDecoder.java
+++ b/src/main/java/trestlegrade/sidecar/StrictDecoder.java
@@ -19,7 +19,7 @@
     /** What still comes is read, so that the connection's end is seen, and dropped. */
     boolean deaf;
     private final Clock clock;
-    private Turnstile turnstile;
+    private PipeliningGate gate;
     LingeringClose linger;
     /** When the first and the latest bytes of a message came that is not whole yet. */
     private long begun;
@@ -33,13 +33,13 @@
 
     /** Takes the place of the usual one, before anything has been read. */
     static StrictDecoder on(HttpConnection connection, HttpServerOptions options, Clock clock, Lateness lateness,
-                            Turnstile.Held held, Runnable tooFar) {
+                            PipeliningGate.Held held, Runnable tooFar) {
         ChannelPipeline pipeline = ((HttpServerConnection) connection).channelHandlerContext().pipeline();
         StrictDecoder decoder = new StrictDecoder(options, clock);
         pipeline.replace("httpDecoder", "httpDecoder", decoder);
-        decoder.turnstile = new Turnstile(decoder, held, tooFar);
+        decoder.gate = new PipeliningGate(decoder, held, tooFar);
         decoder.linger = new LingeringClose(decoder, clock, lateness);
-        pipeline.addBefore("handler", "turnstile", decoder.turnstile);
+        pipeline.addBefore("handler", "gate", decoder.gate);
         pipeline.addBefore("handler", "linger", decoder.linger);
         return decoder;
     }
@@ -69,7 +69,7 @@
 
     /** Whether further messages wait for the answer to the one that was let through. */
     boolean waits() {
-        return turnstile.waits();
+        return gate.waits();
     }
 
     long begun() {
