--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -8,21 +8,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
-import trestlegrade.Tx.Hop;
+import trestlegrade.Tx.Attempt;
 
 /**
- * All decisions of one sidecar: where each transaction's hops go, and when it is given up.
+ * All decisions of one sidecar: where each transaction's attempts go, and when it is given up.
  *
  * <p>Called through the public methods below, with times in tenths of a millisecond; what it decides it
  * asks of its {@link Outlet}. Settings come as {@link Terms}, the list of endpoints as {@link Listed} rows,
- * ends of hops as {@link Outcome}. One instance serves one sidecar and is not thread-safe.
+ * ends of attempts as {@link Outcome}. One instance serves one sidecar and is not thread-safe.
  *
  * <p>The design: each server has a call tracker and a drop rate; the drop rate shrinks its points on a
  * ring; a pick takes a random ring position and the next point (docs/design.md). Beside the design stand:
  * <ol>
  * <li>cold budget: a server that has just started gets a bounded amount of work (rule 4);
  * <li>shutting out: a server that falls silent or fails (in a row, one profile) is left, tried with care;
- * <li>further hops within a budget, also for lost hops once they are called off;
+ * <li>further attempts within a budget, also for lost attempts once they are called off;
  * <li>early rollback when the wait already spoils the service goal;
  * <li>warm keys: where servers remember keys, the ring position comes from the key instead of from chance;
  * <li>reach: where connections or crossings cost, a window of servers, and the own zone until it is crowded.
@@ -151,29 +151,29 @@
         arrivals.add(now, 1);
         customerArrivals[tx.customer].add(now, 1);
         stayAwake();
-        hopTokens = Math.min(HOP_TOKENS, hopTokens + FURTHER_SHARE);
+        attemptTokens = Math.min(ATTEMPT_TOKENS, attemptTokens + FURTHER_SHARE);
         forward(now, tx, 0);
     }
 
     /** The answer has begun to flow to the client: nothing is owed any more. */
-    public void streaming(long id, int hop) {
+    public void streaming(long id, int attempt) {
         Tx tx = txById.get(id);
         if (tx != null) {
             tx.streaming = true;
         }
     }
 
-    public void hopEnded(long now, long id, int hop, Outcome outcome, long took, boolean finished) {
+    public void attemptEnded(long now, long id, int attempt, Outcome outcome, long took, boolean finished) {
         Tx tx = txById.get(id);
-        if (tx == null || hop >= tx.hops.size() || tx.hops.get(hop).outcome != null) {
+        if (tx == null || attempt >= tx.attempts.size() || tx.attempts.get(attempt).outcome != null) {
             return;
         }
-        tx.hops.get(hop).outcome = outcome;
+        tx.attempts.get(attempt).outcome = outcome;
         tx.out--;
         if (finished) {
             finish(tx);
         }
-        backward(now, tx, tx.hops.get(hop), took);
+        backward(now, tx, tx.attempts.get(attempt), took);
         if (tx.done && tx.out == 0) {
             txById.remove(id);
         }
@@ -238,12 +238,12 @@
 
     // -------------------------------------------------- the chain
 
-    /** One stage of the chain every transaction passes, for each hop anew; ends come back through it. */
+    /** One stage of the chain every transaction passes, for each attempt anew; ends come back through it. */
     private interface Stage {
         /** Whether it goes on to the next stage. */
         boolean pass(long now, Tx tx);
 
-        default void back(long now, Tx tx, Hop hop, long took) { }
+        default void back(long now, Tx tx, Attempt attempt, long took) { }
     }
 
     private final Stage[] chain = {new Leave(), new Early(), new Choose()};
@@ -256,9 +256,9 @@
         }
     }
 
-    private void backward(long now, Tx tx, Hop hop, long took) {
+    private void backward(long now, Tx tx, Attempt attempt, long took) {
         for (int i = chain.length - 1; i >= 0; i--) {
-            chain[i].back(now, tx, hop, took);
+            chain[i].back(now, tx, attempt, took);
         }
     }
 
@@ -266,11 +266,11 @@
 
     /** Rule 2. Whether the transaction may be sent (again) to this server. */
     private boolean maySend(long now, Tx tx, Server server) {
-        if (tx.done || tx.hops.size() >= terms.maxHops() || tx.out > 0) {
+        if (tx.done || tx.attempts.size() >= terms.maxAttempts() || tx.out > 0) {
             return false;
         }
         Terms.Profile profile = terms.profiles().get(tx.profile);
-        Hop first = tx.mayHaveRun();
+        Attempt first = tx.mayHaveRun();
         if (first == null || profile.repeat() == Terms.Repeat.IDEMPOTENT) {
             return true;
         }
@@ -301,31 +301,31 @@
         finish(tx);
     }
 
-    /** Marks the transaction as finally answered; hops still out are of no more use. */
+    /** Marks the transaction as finally answered; attempts still out are of no more use. */
     private void finish(Tx tx) {
         if (tx.done) {
             return;
         }
         tx.done = true;
         if (terms.cancelling()) {
-            for (int i = 0; i < tx.hops.size(); i++) {
-                if (tx.hops.get(i).outcome == null) {
+            for (int i = 0; i < tx.attempts.size(); i++) {
+                if (tx.attempts.get(i).outcome == null) {
                     outlet.callOff(tx.id, i);
                 }
             }
         }
     }
 
-    /** Rule 1. First in, last back: sees that each transaction is still worth a hop, or ends it. */
+    /** Rule 1. First in, last back: sees that each transaction is still worth an attempt, or ends it. */
     private final class Leave implements Stage {
         @Override
         public boolean pass(long now, Tx tx) {
             if (tx.done) {
                 return false;
             }
-            // A further hop only if the time left exceeds the time it is expected to take.
-            boolean worth = tx.hops.isEmpty() ? now < tx.end
-                    : tx.end - now > expected(tx) && (hopTokens >= 1 || !tx.costly());
+            // A further attempt only if the time left exceeds the time it is expected to take.
+            boolean worth = tx.attempts.isEmpty() ? now < tx.end
+                    : tx.end - now > expected(tx) && (attemptTokens >= 1 || !tx.costly());
             if (!worth) {
                 giveUp(tx, 0);
             }
@@ -333,19 +333,19 @@
         }
 
         @Override
-        public void back(long now, Tx tx, Hop hop, long took) {
+        public void back(long now, Tx tx, Attempt attempt, long took) {
             if (!tx.done && !tx.streaming) {
                 forward(now, tx, 0);
             }
         }
     }
 
-    // Further hops: one for every five arrivals, as the design's step; twenty saved up bridge a lost server.
+    // Further ones: one for every five arrivals, as the design's step; twenty saved up bridge a lost server.
     private static final double FURTHER_SHARE = 0.2;
-    private static final double HOP_TOKENS = 20;
-    private double hopTokens = HOP_TOKENS;
+    private static final double ATTEMPT_TOKENS = 20;
+    private double attemptTokens = ATTEMPT_TOKENS;
 
-    /** Every beat: transactions past their end are answered, and lost hops are called off. */
+    /** Every beat: transactions past their end are answered, and lost attempts are called off. */
     private void lookAfterOpen(long now) {
         int kept = 0;
         for (int i = 0; i < open.size(); i++) {
@@ -363,13 +363,13 @@
         open.subList(kept, open.size()).clear();
     }
 
-    /** A hop to a server that was shut out since is called off; its end brings a further one. */
+    /** An attempt to a server that was shut out since is called off; its end brings a further one. */
     private void callOffIfLost(long now, Tx tx) {
-        Hop last = tx.hops.get(tx.hops.size() - 1);
-        if (last.server.shut && now - last.sent > last.expected && hopTokens >= 1 && terms.cancelling()
+        Attempt last = tx.attempts.get(tx.attempts.size() - 1);
+        if (last.server.shut && now - last.sent > last.expected && attemptTokens >= 1 && terms.cancelling()
                 && terms.profiles().get(tx.profile).repeat() != Terms.Repeat.NON_IDEMPOTENT
-                && tx.hops.size() < terms.maxHops() && tx.end - now > expected(tx)) {
-            outlet.callOff(tx.id, tx.hops.size() - 1);
+                && tx.attempts.size() < terms.maxAttempts() && tx.end - now > expected(tx)) {
+            outlet.callOff(tx.id, tx.attempts.size() - 1);
         }
     }
 
@@ -379,7 +379,7 @@
     private final class Early implements Stage {
         @Override
         public boolean pass(long now, Tx tx) {
-            if (!tx.hops.isEmpty()) {
+            if (!tx.attempts.isEmpty()) {
                 return true;
             }
             double dropped = callDrop[tx.profile] * (overShare(now, tx) ? 1 + callDrop[tx.profile] : 1);
@@ -391,10 +391,10 @@
         }
 
         @Override
-        public void back(long now, Tx tx, Hop hop, long took) {
-            boolean vainly = hop.outcome == Outcome.TIMED_OUT || hop.outcome == Outcome.CALLED_OFF;
-            if ((vainly || hop.outcome == Outcome.COMMITTED) && steady(now, hop.server)) {
-                (vainly ? vain : commits).add(now, Math.min(took, LONGEST_WAIT * hop.expected));
+        public void back(long now, Tx tx, Attempt attempt, long took) {
+            boolean vainly = attempt.outcome == Outcome.TIMED_OUT || attempt.outcome == Outcome.CALLED_OFF;
+            if ((vainly || attempt.outcome == Outcome.COMMITTED) && steady(now, attempt.server)) {
+                (vainly ? vain : commits).add(now, Math.min(took, LONGEST_WAIT * attempt.expected));
             }
         }
     }
@@ -402,7 +402,7 @@
     // Clients that retry can ask for many times the capacity; one in fifty still passes, to measure by.
     private static final double MOST_DROPPED = 0.98;
 
-    /** Every beat: the wait expected of a hop sent now, and with it the call drop rate of each profile. */
+    /** Every beat: the wait expected of an attempt now, and with it the call drop rate of each profile. */
     private void dropCalls(long now) {
         // The latest second, or as many seconds as it takes to see enough commits, five at the most.
         long span = COMMIT_SPAN;
@@ -412,10 +412,10 @@
         double committed = commits.count(now, span);
         // A sidecar that has just started has not yet seen a whole span.
         double rate = committed / Math.max(1, Math.min(span, now - firstSent));
-        // Hops in vain waited too: without them a jam in which most time out looks like none. While twice as
+        // Those in vain waited too: without them a jam in which most time out looks like none. While twice as
         // many commit, they tell of silent servers, not of a wait: in a cut zone 4 calls in 5 were dropped.
         jammed = vain.count(now, span) + silentOut > committed / 2;
-        // Few hops make Little's figure jump; the ages of hops still out and the times of those that just
+        // Few attempts make Little's figure jump; the ages of those still out and the times of those just
         // ended temper it, and so do as many at the best mean time as would be enough on their own: a usual
         // time would keep a jam alive where most is dropped and little is learnt.
         double took = waited(now, span);
@@ -451,15 +451,15 @@
 
     // Fewer commits than this tell a jam from chance no better than by a third.
     private static final int ENOUGH = 10;
-    // With heavy tails one hop in a hundred takes ten times as long, and a second's mean goes by it.
+    // With heavy tails one attempt in a hundred takes ten times as long, and a second's mean goes by it.
     private static final double LONGEST_WAIT = 3;
-    // Per beat: a wait of twice what is permitted drops all calls after a fifth of a second, about a hop's.
+    // Per beat: twice the permitted wait drops all calls after a fifth of a second, about an attempt's.
     private static final double DROP_STEP = 0.05;
     private final double[] callDrop;
     private double crowding;
     private static final long COMMIT_SPAN = 10_000;
     private long firstSent = -1;
-    /** Of the hops that count for the wait. */
+    /** Of the attempts that count for the wait. */
     private double openAges;
     private int silentOut;
     private boolean jammed;
@@ -490,12 +490,12 @@
     private final class Choose implements Stage {
         @Override
         public boolean pass(long now, Tx tx) {
-            boolean first = tx.hops.isEmpty();
+            boolean first = tx.attempts.isEmpty();
             Server trial = first && blocked ? null : trialFor(now, tx);
             Server server = trial != null ? trial : first && blocked ? null : pick(now, tx);
             if (server == null) {
                 blocked |= first;
-                if (!tx.hops.isEmpty() || now - tx.arrived >= waitAtMost(tx)) {
+                if (!tx.attempts.isEmpty() || now - tx.arrived >= waitAtMost(tx)) {
                     giveUp(tx, 0);
                     return false;
                 }
@@ -503,15 +503,15 @@
                 return false;
             }
             if (tx.costly()) {
-                hopTokens--;
+                attemptTokens--;
             }
             send(now, tx, server, trial != null);
             return false;
         }
 
         @Override
-        public void back(long now, Tx tx, Hop hop, long took) {
-            track(now, tx, hop, took);
+        public void back(long now, Tx tx, Attempt attempt, long took) {
+            track(now, tx, attempt, took);
         }
     }
 
@@ -520,7 +520,7 @@
         return Math.min(terms.profiles().get(tx.profile).serviceGoal(), tx.end - tx.arrived) / 4;
     }
 
-    // Once a beat a first hop that found no server spares the others the search, which cost most of a core.
+    // Once a beat a first one that found no server spares the others the search, which cost most of a core.
     private boolean blocked;
 
     private void retryWaiting(long now) {
@@ -532,11 +532,11 @@
 
     private void send(long now, Tx tx, Server server, boolean trial) {
         firstSent = firstSent < 0 ? now : firstSent;
-        Hop hop = new Hop(server, now, expected(tx), trial);
+        Attempt attempt = new Attempt(server, now, expected(tx), trial);
         if (server.out == 0) {
             server.lastAnswer = Math.max(server.lastAnswer, now);
         }
-        tx.hops.add(hop);
+        tx.attempts.add(attempt);
         tx.out++;
         server.out++;
         openOut += steady(now, server) ? 1 : 0;
@@ -615,7 +615,7 @@
         }
         int n = ring.size();
         int random = (int) (chance.next() * n);
-        boolean keyed = tx.position >= 0 && tx.hops.isEmpty();
+        boolean keyed = tx.position >= 0 && tx.attempts.isEmpty();
         boolean trusted = terms.profiles().get(tx.profile).repeat() == Terms.Repeat.NON_IDEMPOTENT;
         boolean athome = abroad < 1 && homeCount > 0 && chance.next() >= abroad;
         double mean = openOut / Math.max(steadyWeight > 0 ? steadyWeight : readyWeight, 1e-9);
@@ -722,7 +722,7 @@
         if (strict > 2 && chance.next() > Math.max(warmth, 2 * proven / usualWork)) {
             return false;
         }
-        // However little is known, a hop now and then: at most one core's cold share if all do the same.
+        // However little is known, an attempt now and then: at most one core's cold share if all do the same.
         long apart = (long) (users * bare / (terms.coldFrom() * terms.fallMultiple()));
         return server.sentLately.total(now) + cost(tx) <= budget
                 || now - server.lastSent > Math.max(apart, terms.fallSpan());
@@ -752,18 +752,18 @@
     private static final double BARE_DRIFT = 1.002;
     private double usualAll;
 
-    /** How long a hop of this usually takes, over all servers: its profile's mean, by its cost hint. */
+    /** How long an attempt of this usually takes, over all servers: its profile's mean, by its cost hint. */
     private double expected(Tx tx) {
         boolean hinted = tx.cost > 0 && usualCost[tx.profile] > 0;
         return usual[tx.profile] * (hinted ? 0.3 + 0.7 * tx.cost / usualCost[tx.profile] : 1);
     }
 
-    private void track(long now, Tx tx, Hop hop, long took) {
-        Server server = hop.server;
+    private void track(long now, Tx tx, Attempt attempt, long took) {
+        Server server = attempt.server;
         server.out--;
         openOut = Math.max(0, openOut - (steady(now, server) ? 1 : 0));
-        server.trialsOut -= hop.trial ? 1 : 0;
-        Outcome outcome = hop.outcome;
+        server.trialsOut -= attempt.trial ? 1 : 0;
+        Outcome outcome = attempt.outcome;
         if (outcome == Outcome.CALLED_OFF || outcome == Outcome.NOT_SENT) {
             return;
         }
@@ -774,8 +774,8 @@
         if (!silent) {
             server.lastAnswer = now;
         }
-        // The client's own impatience ends a hop too: only past the usual time it tells of the server.
-        if (failed && !(silent && took < 2 * hop.expected)) {
+        // The client's own impatience ends an attempt too: only past the usual time it tells of the server.
+        if (failed && !(silent && took < 2 * attempt.expected)) {
             server.failures.add(now, 1);
             server.failedInRow++;
         }
@@ -789,8 +789,8 @@
         if (!failed || silent) {
             server.answers.add(now, 1);
             answered.add(now, 1);
-            server.slowness.add(now, took / hop.expected);
-            server.pace += 0.1 * (took / hop.expected - server.pace);
+            server.slowness.add(now, took / attempt.expected);
+            server.pace += 0.1 * (took / attempt.expected - server.pace);
             // As a plain mean at first: one answer for one in fifty had a new sidecar go by its first hint.
             double step = Math.max(0.02, 1.0 / ++learnt[tx.profile]);
             usual[tx.profile] += Math.min(step, 1.0 / FEW_CALLS) * (took - usual[tx.profile]);
@@ -801,7 +801,7 @@
         }
         long lately = gradeSpan * 2 / 5;
         if (server.shut) {
-            trialEnded(now, server, failed, hop.trial);
+            trialEnded(now, server, failed, attempt.trial);
         } else if (failed && (outcome == Outcome.NO_CONNECTION && server.failedInRow >= 2
                 || server.failedInRow >= FAILING_CALLS || server.failures.total(now, lately) >= FAILING_CALLS
                 && server.failures.total(now, lately) >= FAILING_SHARE * server.calls.total(now, lately))) {
@@ -876,7 +876,7 @@
 
     // -------------------------------------------------- shutting out
 
-    /** Every beat: how unlikely each server's silence is, from the hops out to it since its last answer. */
+    /** Every beat: how unlikely each server's silence is, from attempts out to it since its last answer. */
     private void listen(long now) {
         for (Server server : heard) {
             server.silence = 0;
@@ -884,18 +884,18 @@
             server.heardOf = 0;
         }
         heard.clear();
-        // What was usual when a hop was sent says little once all has become slow.
+        // What was usual when an attempt was sent says little once all has become slow.
         double latest = waited(now, COMMIT_SPAN) / Math.max(1, commits.count(now, COMMIT_SPAN));
         for (Tx tx : open) {
-            for (Hop hop : tx.hops) {
-                if (hop.outcome == null && !tx.streaming) {
-                    Server server = hop.server;
+            for (Attempt attempt : tx.attempts) {
+                if (attempt.outcome == null && !tx.streaming) {
+                    Server server = attempt.server;
                     if (server.heardOf == 0) {
                         heard.add(server);
                     }
-                    long unheard = now - Math.max(hop.sent, server.lastAnswer);
-                    server.silence += unheard / Math.max(hop.expected * Math.max(1, server.pace), latest);
-                    server.ages += (long) Math.min(now - hop.sent, LONGEST_WAIT * hop.expected);
+                    long unheard = now - Math.max(attempt.sent, server.lastAnswer);
+                    server.silence += unheard / Math.max(attempt.expected * Math.max(1, server.pace), latest);
+                    server.ages += (long) Math.min(now - attempt.sent, LONGEST_WAIT * attempt.expected);
                     server.heardOf++;
                 }
             }
@@ -928,7 +928,7 @@
         meanTold = told / Math.max(1, readyCount);
     }
 
-    // Servers with hops out at the last beat.
+    // Servers with attempts out at the last beat.
     private final List<Server> heard = new ArrayList<>();
     private int shutServers;
 
@@ -977,13 +977,13 @@
         }
     }
 
-    // Of the first hops at the most, a quarter of what may go further: trials were most of what a sidecar
+    // Of the first attempts at the most, a quarter of what may go further: trials were most of what a sidecar
     // with little traffic sent.
     private static final double TRIALS = 0.05;
 
     /** A server due for a trial, if this transaction may be repeated when the trial fails. */
     private Server trialFor(long now, Tx tx) {
-        if (shutServers == 0 || !tx.hops.isEmpty() || chance.next() >= TRIALS
+        if (shutServers == 0 || !tx.attempts.isEmpty() || chance.next() >= TRIALS
                 || terms.profiles().get(tx.profile).repeat() != Terms.Repeat.IDEMPOTENT) {
             return null;
         }
--- a/src/main/java/trestlegrade/Outcome.java
+++ b/src/main/java/trestlegrade/Outcome.java
@@ -1,6 +1,6 @@
 package trestlegrade;
 
-/** How a hop ended, and whether that proves that the endpoint never ran the transaction. */
+/** How an attempt ended, and whether that proves that the endpoint never ran the transaction. */
 public enum Outcome {
     COMMITTED(false),
     ERROR(false),
--- a/src/main/java/trestlegrade/Outlet.java
+++ b/src/main/java/trestlegrade/Outlet.java
@@ -5,11 +5,11 @@
  * with.
  */
 public interface Outlet {
-    /** Starts the transaction's next hop; hops are numbered from 0 in the order of these calls. */
+    /** Starts the transaction's next attempt; attempts are numbered from 0 in the order of these calls. */
     void send(long tx, long endpoint, long timeout);
 
-    /** Stops waiting for a hop. */
-    void callOff(long tx, int hop);
+    /** Stops waiting for an attempt. */
+    void callOff(long tx, int attempt);
 
     /** Final answer: it has had no effect and may be tried again, after the pause if that is not 0. */
     void rollBack(long tx, long pause);
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -111,7 +111,7 @@
         gone = true;
     }
 
-    /** The place of one that has left and that no hop and no point on the ring refers to any more, or the end. */
+    /** The place of one that has left and that no attempt and no point on the ring refers to any more, or the end. */
     static int vacancy(List<Server> servers) {
         for (Server server : servers) {
             if (server.gone && server.out == 0 && server.laid == 0) {
--- a/src/main/java/trestlegrade/Terms.java
+++ b/src/main/java/trestlegrade/Terms.java
@@ -8,14 +8,14 @@
  */
 public record Terms(
         List<Profile> profiles, List<Customer> customers, int sidecars,
-        int maxHops, boolean cancelling, boolean pauses, long longestPause,
+        int maxAttempts, boolean cancelling, boolean pauses, long longestPause,
         boolean listOnRequest, long askWithin, Weights weights, boolean warmKeys,
         int zone, int number, double crossFee, double connectionFee, double evenness,
         double coldFrom, long coldFor, double fallMultiple, long fallSpan) {
 
     /** The same in another numbering of zones. */
     public Terms inZone(int index) {
-        return new Terms(profiles, customers, sidecars, maxHops, cancelling, pauses, longestPause, listOnRequest,
+        return new Terms(profiles, customers, sidecars, maxAttempts, cancelling, pauses, longestPause, listOnRequest,
                 askWithin, weights, warmKeys, index, number, crossFee, connectionFee, evenness, coldFrom, coldFor,
                 fallMultiple, fallSpan);
     }
--- a/src/main/java/trestlegrade/Tx.java
+++ b/src/main/java/trestlegrade/Tx.java
@@ -3,18 +3,18 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One transaction from its arrival until its last hop has ended, and what its hops went through. */
+/** One transaction from its arrival until its last attempt has ended, and what its attempts went through. */
 final class Tx {
 
-    /** One hop; {@code outcome} is null while it is out. */
-    static final class Hop {
+    /** One attempt; {@code outcome} is null while it is out. */
+    static final class Attempt {
         final Server server;
         final long sent;
         final double expected;
         final boolean trial;
         Outcome outcome;
 
-        Hop(Server server, long sent, double expected, boolean trial) {
+        Attempt(Server server, long sent, double expected, boolean trial) {
             this.server = server;
             this.sent = sent;
             this.expected = expected;
@@ -28,7 +28,7 @@
     final long arrived;
     long end;
     final long cost;
-    final List<Hop> hops = new ArrayList<>(3);
+    final List<Attempt> attempts = new ArrayList<>(3);
     /** Where on the ring its key lies, or -1. */
     long position = -1;
     int out;
@@ -45,29 +45,29 @@
     }
 
     boolean tried(Server server) {
-        for (Hop hop : hops) {
-            if (hop.server == server) {
+        for (Attempt attempt : attempts) {
+            if (attempt.server == server) {
                 return true;
             }
         }
         return false;
     }
 
-    /** Whether a hop before reached a server, so that one more adds to the servers' work. */
+    /** Whether an attempt before reached a server, so that one more adds to the servers' work. */
     boolean costly() {
-        for (Hop hop : hops) {
-            if (hop.outcome != Outcome.NO_CONNECTION && hop.outcome != Outcome.NOT_SENT) {
+        for (Attempt attempt : attempts) {
+            if (attempt.outcome != Outcome.NO_CONNECTION && attempt.outcome != Outcome.NOT_SENT) {
                 return true;
             }
         }
         return false;
     }
 
-    /** The first hop that ran or may have run (one still out may run), or null. */
-    Hop mayHaveRun() {
-        for (Hop hop : hops) {
-            if (hop.outcome == null || !hop.outcome.neverRan) {
-                return hop;
+    /** The first attempt that ran or may have run (one still out may run), or null. */
+    Attempt mayHaveRun() {
+        for (Attempt attempt : attempts) {
+            if (attempt.outcome == null || !attempt.outcome.neverRan) {
+                return attempt;
             }
         }
         return null;
--- a/src/main/java/trestlegrade/benchlink/Link.java
+++ b/src/main/java/trestlegrade/benchlink/Link.java
@@ -111,10 +111,10 @@
                 case 1020 -> arrived(instance, now);
                 case 1030 -> {
                     long tx = u32();
-                    int hop = Byte.toUnsignedInt(batch.get());
+                    int attempt = Byte.toUnsignedInt(batch.get());
                     skip(12);
                     if (instance != null) {
-                        instance.streaming(tx, hop);
+                        instance.streaming(tx, attempt);
                     }
                 }
                 case 1040 -> ended(instance, now);
@@ -186,17 +186,17 @@
 
     private void ended(Balance instance, long now) throws MalformedFrame {
         long tx = u32();
-        int hop = Byte.toUnsignedInt(batch.get());
+        int attempt = Byte.toUnsignedInt(batch.get());
         skip(4);
         int status = batch.get();
         double took = batch.getDouble();
         boolean finished = batch.get() != 0;
         skip(4 * Byte.toUnsignedInt(batch.get()));
         if (status < 10 || status > 80 || status % 10 != 0) {
-            throw new MalformedFrame("a hop of unknown outcome " + status);
+            throw new MalformedFrame("an attempt of unknown outcome " + status);
         }
         if (instance != null) {
-            instance.hopEnded(now, tx, hop, Outcome.values()[status / 10 - 1], tenths(took), finished);
+            instance.attemptEnded(now, tx, attempt, Outcome.values()[status / 10 - 1], tenths(took), finished);
         }
     }
 
--- a/src/main/java/trestlegrade/benchlink/Reply.java
+++ b/src/main/java/trestlegrade/benchlink/Reply.java
@@ -39,8 +39,8 @@
     }
 
     @Override
-    public void callOff(long tx, int hop) {
-        record(1030, 5).putInt((int) tx).put((byte) hop);
+    public void callOff(long tx, int attempt) {
+        record(1030, 5).putInt((int) tx).put((byte) attempt);
     }
 
     @Override
--- a/src/main/java/trestlegrade/sidecar/Answers.java
+++ b/src/main/java/trestlegrade/sidecar/Answers.java
@@ -14,17 +14,17 @@
 import java.util.List;
 
 /**
- * Reads an endpoint's answers on one connection and takes nothing for an answer that is none: what comes while no hop
- * is out belongs to nobody, and what cannot be read spoils the answer at its first bytes, not at a time-out.
+ * Reads an endpoint's answers on one connection and takes nothing for an answer that is none: what comes while no
+ * attempt is out belongs to nobody, and what cannot be read spoils the answer at its first bytes, not at a time-out.
  */
 final class Answers extends HttpResponseDecoder {
 
     /** The side that awaits them. */
     interface Reader {
-        /** Whether a hop is out whose answer is not whole yet. */
+        /** Whether an attempt is out whose answer is not whole yet. */
         boolean awaits();
 
-        /** Whether that hop's answer is a head alone. */
+        /** Whether that attempt's answer is a head alone. */
         boolean bodiless();
 
         /** Bytes beyond the answers. */
--- a/src/main/java/trestlegrade/sidecar/Hop.java
+++ b/src/main/java/trestlegrade/sidecar/Attempt.java
@@ -5,14 +5,14 @@
 import io.vertx.core.buffer.Buffer;
 import trestlegrade.sidecar.Roster.Endpoint;
 
-/** One hop of a transaction, from the decision to send until its end has been told. */
-final class Hop {
+/** One attempt of a transaction, from the decision to send until its end has been told. */
+final class Attempt {
     final Exchange exchange;
     final int number;
     final Endpoint endpoint;
     final long sent;
     PooledConnection connection;
-    /** Of the last byte; null until the hop is handed to a connection. */
+    /** Of the last byte; null until the attempt is handed to a connection. */
     Future<Void> written;
     /** Of the answer; its body is null until it is whole. */
     HttpResponse head;
@@ -23,7 +23,7 @@
     long heard;
     boolean ended;
 
-    Hop(Exchange exchange, int number, Endpoint endpoint, long sent) {
+    Attempt(Exchange exchange, int number, Endpoint endpoint, long sent) {
         this.exchange = exchange;
         this.number = number;
         this.endpoint = endpoint;
--- a/src/main/java/trestlegrade/sidecar/Hops.java
+++ b/src/main/java/trestlegrade/sidecar/Attempts.java
@@ -15,14 +15,14 @@
 import trestlegrade.sidecar.Roster.Endpoint;
 
 /**
- * Carries hops to endpoints, one at a time on a connection, and tells how each ended. Connections are this
- * class's own: no library may send a hop again, queue it behind another or pick its connection.
+ * Carries attempts to endpoints, one at a time on a connection, and tells how each ended. Connections are this
+ * class's own: no library may send an attempt again, queue it behind another or pick its connection.
  */
-final class Hops implements PooledConnection.Owner {
+final class Attempts implements PooledConnection.Owner {
 
-    /** Who is told that a hop has ended; never called from inside {@link #send} or {@link #callOff}. */
+    /** Who is told that an attempt has ended; never called from inside {@link #send} or {@link #callOff}. */
     interface Ends {
-        void hopEnded(Hop hop, Outcome outcome);
+        void attemptEnded(Attempt attempt, Outcome outcome);
     }
 
     private final Vertx vertx;
@@ -38,7 +38,7 @@
     private final Descriptors descriptors;
     private final long sweeper;
 
-    Hops(Vertx vertx, Clock clock, Counters counters, Lateness lateness, Ends ends, Commission commission,
+    Attempts(Vertx vertx, Clock clock, Counters counters, Lateness lateness, Ends ends, Commission commission,
          int settled) {
         this.vertx = vertx;
         this.clock = clock;
@@ -46,7 +46,7 @@
         this.lateness = lateness;
         this.settled = settled;
         this.ends = ends;
-        descriptors = Descriptors.forHops(commission.sockets());
+        descriptors = Descriptors.forAttempts(commission.sockets());
         adopt(commission);
         trusted = idleFor;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true));
@@ -63,30 +63,30 @@
     // Much finer than the fifth above at any idle time of seconds.
     private static final long SWEEP = 500;
 
-    /** Starts a hop; the timeout is in tenths of a millisecond. */
-    void send(Hop hop, long timeout) {
-        if (timeout <= 0 || !hop.endpoint.active) {
-            settle(hop, Outcome.NOT_SENT);
+    /** Starts an attempt; the timeout is in tenths of a millisecond. */
+    void send(Attempt attempt, long timeout) {
+        if (timeout <= 0 || !attempt.endpoint.active) {
+            settle(attempt, Outcome.NOT_SENT);
             return;
         }
-        hop.timer = vertx.setTimer(Math.max(1, (timeout + 9) / 10), t -> {
-            hop.timer = -1;
-            settle(hop, Outcome.TIMED_OUT);
+        attempt.timer = vertx.setTimer(Math.max(1, (timeout + 9) / 10), t -> {
+            attempt.timer = -1;
+            settle(attempt, Outcome.TIMED_OUT);
         });
-        PooledConnection connection = idleConnection(hop);
+        PooledConnection connection = idleConnection(attempt);
         if (connection != null) {
-            write(hop, connection);
+            write(attempt, connection);
         } else if (!descriptors.full() || closeOneIdle()) {
-            connect(hop);
+            connect(attempt);
         } else {
             counters.noDescriptor++;
-            settle(hop, Outcome.NOT_SENT);
+            settle(attempt, Outcome.NOT_SENT);
         }
     }
 
     /** At the end of its transaction it has timed out, whichever comes first, this or its timer. */
-    void callOff(Hop hop) {
-        settle(hop, clock.now() < hop.exchange.end ? Outcome.CALLED_OFF : Outcome.TIMED_OUT);
+    void callOff(Attempt attempt) {
+        settle(attempt, clock.now() < attempt.exchange.end ? Outcome.CALLED_OFF : Outcome.TIMED_OUT);
     }
 
     /** Idle connections to an endpoint that left, drains or started anew are of no more use. */
@@ -100,10 +100,10 @@
     // -------------------------------------------------- connections
 
     /** The one used last, for the others grow old and are dropped, so that no more stay than are needed. */
-    private PooledConnection idleConnection(Hop hop) {
-        Deque<PooledConnection> free = idle.get(hop.endpoint.id);
+    private PooledConnection idleConnection(Attempt attempt) {
+        Deque<PooledConnection> free = idle.get(attempt.endpoint.id);
         long now = clock.now();
-        boolean repeatable = hop.exchange.repeatable;
+        boolean repeatable = attempt.exchange.repeatable;
         if (free != null) {
             for (Iterator<PooledConnection> each = free.descendingIterator(); each.hasNext();) {
                 PooledConnection connection = each.next();
@@ -120,66 +120,66 @@
     }
 
     /**
-     * Endpoints may end idle connections sooner than they say, and a hop written then may have run. Once one broke
-     * at once on a connection that had been idle, hops that may not be repeated are trusted to those idle for half as
-     * long.
+     * Endpoints may end idle connections sooner than they say, and an attempt written then may have run. Once one
+     * broke at once on a connection that had been idle, attempts that may not be repeated are trusted to those idle for
+     * half as long.
      */
     private void brokeAt(PooledConnection connection) {
-        if (connection.carried > 1 && clock.now() - connection.hop.sent < AT_ONCE) {
-            trusted = Math.max(20 * SETTLED, Math.min(trusted, (connection.hop.sent - connection.idleSince) / 2));
+        if (connection.carried > 1 && clock.now() - connection.attempt.sent < AT_ONCE) {
+            trusted = Math.max(20 * SETTLED, Math.min(trusted, (connection.attempt.sent - connection.idleSince) / 2));
         }
     }
 
-    // Five milliseconds: an endpoint that has begun on a hop breaks later than one that had closed the connection.
+    // Five milliseconds: an endpoint that has begun on an attempt breaks later than one that had closed the connection.
     private static final long AT_ONCE = 50;
     // At each sweep: doubled in seven seconds without a further break.
     private static final double TRUST_GROWS = 1.05;
     private long trusted;
 
     // Milliseconds. Of 520 connections closed behind an answer, nine in ten were within 23 ms of it and none later than
-    // 26; a hop written meanwhile may have run. A second answer comes some milliseconds late as well, and a hop that is
-    // out by then would be given it for its own, whether it may be repeated or not.
+    // 26; an attempt written meanwhile may have run. A second answer comes some milliseconds late as well, and an
+    // attempt that is out by then would be given it for its own, whether it may be repeated or not.
     static final int SETTLED = 30;
 
-    private void connect(Hop hop) {
+    private void connect(Attempt attempt) {
         descriptors.take();
         counters.connects++;
-        Endpoint endpoint = hop.endpoint;
+        Endpoint endpoint = attempt.endpoint;
         long asked = clock.now();
         client.connect(new ConnectOptions().setRemoteAddress(endpoint.address).setTimeout((int) connectWithin))
                 .onComplete(up -> {
             if (up.failed()) {
                 descriptors.giveBack();
                 counters.ended("pooled", "connect-failed", endpoint.name, 0, clock.now() - asked);
-                settle(hop, Outcome.NO_CONNECTION);
+                settle(attempt, Outcome.NO_CONNECTION);
                 return;
             }
             PooledConnection connection =
                     new PooledConnection(endpoint, (NetSocketInternal) up.result(), clock.now(), this);
             connection.whenClosed(() -> closed(connection));
-            lateness.caughtUp(() -> connected(hop, connection, asked));
+            lateness.caughtUp(() -> connected(attempt, connection, asked));
         });
     }
 
     /**
-     * Whatever came while the connection did: the hop was ended, its transaction has its answer or its client left (the
-     * decisions call hops off only where that is allowed, but of this one nothing is written yet), or the list said
-     * that the endpoint drains.
+     * Whatever came while the connection did: the attempt was ended, its transaction has its answer or its client left
+     * (the decisions call attempts off only where that is allowed, but of this one nothing is written yet), or the list
+     * said that the endpoint drains.
      */
-    private void connected(Hop hop, PooledConnection connection, long asked) {
+    private void connected(Attempt attempt, PooledConnection connection, long asked) {
         if (!connection.endpoint.active) {
             connection.close("gone");
-            settle(hop, Outcome.NOT_SENT);
+            settle(attempt, Outcome.NOT_SENT);
         } else if (connection.closed) {
-            settle(hop, Outcome.NO_CONNECTION);
-        } else if (hop.ended) {
+            settle(attempt, Outcome.NO_CONNECTION);
+        } else if (attempt.ended) {
             release(connection);
-        } else if (!hop.exchange.wanted() || clock.now() - asked > 20 * connectWithin) {
+        } else if (!attempt.exchange.wanted() || clock.now() - asked > 20 * connectWithin) {
             // Or the loop stood still, which is not the endpoint's doing.
-            settle(hop, Outcome.NOT_SENT);
+            settle(attempt, Outcome.NOT_SENT);
             release(connection);
         } else {
-            write(hop, connection);
+            write(attempt, connection);
         }
     }
 
@@ -187,21 +187,21 @@
         descriptors.giveBack();
         connection.closed = true;
         String code = connection.reason != null ? connection.reason
-                : connection.hop == null ? "endpoint-closed" : "broken";
+                : connection.attempt == null ? "endpoint-closed" : "broken";
         counters.ended("pooled", code, connection.endpoint.name, connection.carried, clock.now() - connection.opened);
         Deque<PooledConnection> free = idle.get(connection.endpoint.id);
         if (free != null) {
             free.remove(connection);
         }
-        if (connection.hop != null) {
+        if (connection.attempt != null) {
             brokeAt(connection);
             connection.reason = code;
-            settle(connection.hop, Outcome.BROKEN);
+            settle(connection.attempt, Outcome.BROKEN);
         }
     }
 
     private void release(PooledConnection connection) {
-        connection.hop = null;
+        connection.attempt = null;
         if (connection.closed || connection.reason != null) {
             return;
         }
@@ -216,8 +216,8 @@
             idle.put(connection.endpoint.id, free);
         }
         free.addLast(connection);
-        // Endpoints close connections behind an answer, or send more than one: a hop written before that has been read
-        // is lost, or gets another's answer. What has come by the first timer is read before the second.
+        // Endpoints close connections behind an answer, or send more than one: an attempt written before that has been
+        // read is lost, or gets another's answer. What has come by the first timer is read before the second.
         connection.rested = connection.carried == 0;
         int answer = ++connection.rests;
         vertx.setTimer(settled, t -> vertx.setTimer(1, u -> connection.rested |= connection.rests == answer));
@@ -253,31 +253,31 @@
         }
     }
 
-    // -------------------------------------------------- hops
+    // -------------------------------------------------- attempts
 
-    private void write(Hop hop, PooledConnection connection) {
-        hop.connection = connection;
+    private void write(Attempt attempt, PooledConnection connection) {
+        attempt.connection = connection;
         counters.sent++;
-        hop.written = connection.write(hop, clock.now());
-        hop.written.onFailure(e -> spoilt(hop, "broken"));
+        attempt.written = connection.write(attempt, clock.now());
+        attempt.written.onFailure(e -> spoilt(attempt, "broken"));
     }
 
     @Override
-    public void answered(Hop hop) {
-        int status = hop.head.status().code();
-        boolean neverRan = (status == 503 || status == 504) && "1".equals(hop.head.headers().get("X-Never-Ran"));
-        PooledConnection connection = hop.connection;
-        settle(hop, status == 200 ? Outcome.COMMITTED : neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR);
-        if (!HttpUtil.isKeepAlive(hop.head)) {
+    public void answered(Attempt attempt) {
+        int status = attempt.head.status().code();
+        boolean neverRan = (status == 503 || status == 504) && "1".equals(attempt.head.headers().get("X-Never-Ran"));
+        PooledConnection connection = attempt.connection;
+        settle(attempt, status == 200 ? Outcome.COMMITTED : neverRan ? Outcome.TURNED_AWAY : Outcome.ERROR);
+        if (!HttpUtil.isKeepAlive(attempt.head)) {
             connection.close("endpoint-closes");
         }
     }
 
     @Override
-    public void spoilt(Hop hop, String why) {
-        if (!hop.ended) {
-            hop.connection.close(why);
-            settle(hop, Outcome.BROKEN);
+    public void spoilt(Attempt attempt, String why) {
+        if (!attempt.ended) {
+            attempt.connection.close(why);
+            settle(attempt, Outcome.BROKEN);
         }
     }
 
@@ -287,38 +287,38 @@
      * long answers on their way, and such as waited unread while the loop stood still.
      */
     @Override
-    public void unfinished(Hop hop) {
-        hop.heard = clock.now();
-        if (hop.partTimer < 0) {
-            awaitRest(hop, connectWithin);
+    public void unfinished(Attempt attempt) {
+        attempt.heard = clock.now();
+        if (attempt.partTimer < 0) {
+            awaitRest(attempt, connectWithin);
         }
     }
 
-    private void awaitRest(Hop hop, long span) {
-        hop.partTimer = vertx.setTimer(span, t -> lateness.caughtUp(() -> {
-            long left = connectWithin - (clock.now() - hop.heard) / 10;
-            if (!hop.ended && left > 0) {
-                awaitRest(hop, left);
+    private void awaitRest(Attempt attempt, long span) {
+        attempt.partTimer = vertx.setTimer(span, t -> lateness.caughtUp(() -> {
+            long left = connectWithin - (clock.now() - attempt.heard) / 10;
+            if (!attempt.ended && left > 0) {
+                awaitRest(attempt, left);
             } else {
-                spoilt(hop, "unfinished");
+                spoilt(attempt, "unfinished");
             }
         }));
     }
 
     /**
-     * Ends a hop. Whether it may have run is told by its last byte: with that not written the endpoint never
+     * Ends an attempt. Whether it may have run is told by its last byte: with that not written the endpoint never
      * began it. While the write is still open this waits one turn for the closed connection to fail it;
      * what is unsure then may have run.
      */
-    private void settle(Hop hop, Outcome outcome) {
-        if (hop.ended) {
+    private void settle(Attempt attempt, Outcome outcome) {
+        if (attempt.ended) {
             return;
         }
-        hop.ended = true;
-        vertx.cancelTimer(hop.timer);
-        vertx.cancelTimer(hop.partTimer);
-        PooledConnection connection = hop.connection;
-        boolean whole = hop.written != null && hop.written.succeeded();
+        attempt.ended = true;
+        vertx.cancelTimer(attempt.timer);
+        vertx.cancelTimer(attempt.partTimer);
+        PooledConnection connection = attempt.connection;
+        boolean whole = attempt.written != null && attempt.written.succeeded();
         boolean answered = outcome == Outcome.COMMITTED || outcome == Outcome.TURNED_AWAY
                 || outcome == Outcome.ERROR;
         if (connection != null) {
@@ -330,20 +330,20 @@
                     case CALLED_OFF -> "called-off";
                     default -> answered ? "early-answer" : "broken";
                 });
-                connection.hop = null;
+                connection.attempt = null;
             }
         }
-        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.BROKEN && hop.head == null && connection != null
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.BROKEN && attempt.head == null && connection != null
                 && "broken".equals(connection.reason)) {
             // Those that have not answered since may lead to a silent machine, and a new one tells before
             // anything is sent on it. To close all was half of all connections on an overloaded day.
-            dropIdle(hop.endpoint, "suspect", hop.sent);
+            dropIdle(attempt.endpoint, "suspect", attempt.sent);
         }
-        if (!answered && hop.written != null && !hop.written.isComplete()) {
-            vertx.runOnContext(v -> ends.hopEnded(hop, hop.written.failed() ? never(outcome) : outcome));
+        if (!answered && attempt.written != null && !attempt.written.isComplete()) {
+            vertx.runOnContext(v -> ends.attemptEnded(attempt, attempt.written.failed() ? never(outcome) : outcome));
         } else {
-            boolean unsent = !answered && (hop.written == null || hop.written.failed());
-            ends.hopEnded(hop, unsent ? never(outcome) : outcome);
+            boolean unsent = !answered && (attempt.written == null || attempt.written.failed());
+            ends.attemptEnded(attempt, unsent ? never(outcome) : outcome);
         }
     }
 
@@ -352,7 +352,7 @@
                 : Outcome.NO_CONNECTION;
     }
 
-    /** No more hops: ends all connections. */
+    /** No more attempts: ends all connections. */
     void close() {
         vertx.cancelTimer(sweeper);
         for (var each : idle) {
--- a/src/main/java/trestlegrade/sidecar/Counters.java
+++ b/src/main/java/trestlegrade/sidecar/Counters.java
@@ -44,9 +44,9 @@
     long badLines;
     long badEntries;
     /** Tenths of a millisecond, to two digits up to a minute. */
-    final Histogram hopTook = new Histogram(600_000, 2);
+    final Histogram attemptTook = new Histogram(600_000, 2);
     final Histogram loopLate = new Histogram(600_000, 2);
-    private final Map<Outcome, Long> hops = new EnumMap<>(Outcome.class);
+    private final Map<Outcome, Long> attempts = new EnumMap<>(Outcome.class);
     private final Map<Integer, Long> rejected = new TreeMap<>();
     private final Map<String, Long> connectionsEnded = new TreeMap<>();
 
@@ -54,8 +54,8 @@
         this.log = log;
     }
 
-    void hop(Outcome outcome) {
-        hops.merge(outcome, 1L, Long::sum);
+    void attempt(Outcome outcome) {
+        attempts.merge(outcome, 1L, Long::sum);
     }
 
     void rejected(int status) {
@@ -77,18 +77,18 @@
 
     JsonObject report() {
         JsonObject ends = new JsonObject();
-        hops.forEach((outcome, n) -> ends.put(outcome.name().toLowerCase(Locale.ROOT), n));
+        attempts.forEach((outcome, n) -> ends.put(outcome.name().toLowerCase(Locale.ROOT), n));
         JsonObject refusals = new JsonObject();
         rejected.forEach((status, n) -> refusals.put(status.toString(), n));
         JsonObject codes = new JsonObject();
         connectionsEnded.forEach(codes::put);
         return new JsonObject().put("taken", taken).put("committed", committed).put("rolled_back", rolledBack)
                 .put("abandoned", abandoned).put("clients_left", clientsLeft).put("rejected", refusals)
-                .put("hops_sent", sent).put("hops_ended", ends).put("connects", connects)
+                .put("attempts_sent", sent).put("attempts_ended", ends).put("connects", connects)
                 .put("no_descriptor", noDescriptor).put("connections_ended", codes)
                 .put("list_lines", listLines).put("watches", watches).put("list_lines_bad", badLines).put("list_entries_bad", badEntries)
                 .put("loop_turns", turns.all()).put("loop_turns_idle", turns.idle.sum())
                 .put("log_lines_dropped", log.dropped())
-                .put("hop_ms", milliseconds(hopTook)).put("loop_late_ms", milliseconds(loopLate));
+                .put("attempt_ms", milliseconds(attemptTook)).put("loop_late_ms", milliseconds(loopLate));
     }
 }
--- a/src/main/java/trestlegrade/sidecar/Descriptors.java
+++ b/src/main/java/trestlegrade/sidecar/Descriptors.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** How many connections one side may hold, clients or hops, of those that this process may. */
+/** How many connections one side may hold, clients or attempts, of those that this process may. */
 final class Descriptors {
     // Its listener, discovery, jar, pipes and the loops' own come to 20; the rest is for what just closes.
     private static final int OWN = 32;
@@ -15,16 +15,16 @@
         this.most = most;
     }
 
-    // Applications hold a third of all for transactions at the most. Hops need as many and a few for further
+    // Applications hold a third of all for transactions at the most. Attempts need as many and a few for further
     // ones and for what has just been closed; the rest is for clients that bring nothing.
-    private static final double HOPS = 0.45;
+    private static final double ATTEMPTS = 0.45;
 
-    static Descriptors forHops(int sockets) {
-        return new Descriptors((int) ((sockets - OWN) * HOPS));
+    static Descriptors forAttempts(int sockets) {
+        return new Descriptors((int) ((sockets - OWN) * ATTEMPTS));
     }
 
     static Descriptors forClients(int sockets) {
-        return new Descriptors(sockets - OWN - forHops(sockets).most);
+        return new Descriptors(sockets - OWN - forAttempts(sockets).most);
     }
 
     void take() {
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -36,7 +36,7 @@
     private Tenure tenure;
     private final List<Tenure> earlier = new ArrayList<>();
     private Roster roster;
-    private Hops hops;
+    private Attempts attempts;
     private Runnable watch;
     private long now;
     private long nextId;
@@ -52,9 +52,9 @@
     }
 
     /** Begins with the list as it was last known; discovery is asked at once. */
-    void start(Roster roster, Hops hops, Runnable watch, JsonArray known) {
+    void start(Roster roster, Attempts attempts, Runnable watch, JsonArray known) {
         this.roster = roster;
-        this.hops = hops;
+        this.attempts = attempts;
         this.watch = watch;
         put(list, () -> {
             tenure.balance.start(now);
@@ -113,22 +113,22 @@
         }
     }
 
-    void hopEnded(Hop hop, Outcome outcome) {
+    void attemptEnded(Attempt attempt, Outcome outcome) {
         put(() -> {
-            Exchange exchange = hop.exchange;
+            Exchange exchange = attempt.exchange;
             exchange.out--;
-            counters.hop(outcome);
+            counters.attempt(outcome);
             if (outcome == Outcome.COMMITTED) {
-                exchange.commit(Heads.onward(hop.head.headers(), hop.head.headers().get("Connection")), hop.answer,
-                        counters);
-                counters.hopTook.recordValue(Math.min(clock.now() - hop.sent,
-                        counters.hopTook.getHighestTrackableValue()));
+                exchange.commit(Heads.onward(attempt.head.headers(), attempt.head.headers().get("Connection")),
+                        attempt.answer, counters);
+                counters.attemptTook.recordValue(Math.min(clock.now() - attempt.sent,
+                        counters.attemptTook.getHighestTrackableValue()));
             }
             if (!exchange.wanted()) {
-                // Before the decisions think of a further hop: that the client left may be told behind this.
+                // Before the decisions think of a further attempt: that the client left may be told behind this.
                 leave(exchange);
             }
-            exchange.tenure.balance.hopEnded(now, exchange.id, hop.number, outcome, clock.now() - hop.sent,
+            exchange.tenure.balance.attemptEnded(now, exchange.id, attempt.number, outcome, clock.now() - attempt.sent,
                     exchange.over());
             forget(exchange);
         });
@@ -154,7 +154,7 @@
         });
     }
 
-    /** Transactions that still wait for their final answer or have hops out. */
+    /** Transactions that still wait for their final answer or have attempts out. */
     int open() {
         return open.size();
     }
@@ -209,15 +209,15 @@
         @Override
         public void send(long tx, long endpoint, long timeout) {
             Exchange exchange = open.get(tx);
-            Hop hop = new Hop(exchange, exchange.hops.size(), roster.endpoint(endpoint), clock.now());
-            exchange.hops.add(hop);
+            Attempt attempt = new Attempt(exchange, exchange.attempts.size(), roster.endpoint(endpoint), clock.now());
+            exchange.attempts.add(attempt);
             exchange.out++;
-            hops.send(hop, exchange.wanted() ? timeout : 0);
+            attempts.send(attempt, exchange.wanted() ? timeout : 0);
         }
 
         @Override
-        public void callOff(long tx, int hop) {
-            hops.callOff(open.get(tx).hops.get(hop));
+        public void callOff(long tx, int attempt) {
+            attempts.callOff(open.get(tx).attempts.get(attempt));
         }
 
         @Override
--- a/src/main/java/trestlegrade/sidecar/Exchange.java
+++ b/src/main/java/trestlegrade/sidecar/Exchange.java
@@ -31,8 +31,8 @@
     final long key;
     final long end;
     final long cost;
-    final List<Hop> hops = new ArrayList<>(3);
-    /** Hops whose end has not been told yet. */
+    final List<Attempt> attempts = new ArrayList<>(3);
+    /** Attempts whose end has not been told yet. */
     int out;
     /** Given at the desk; 0 before. */
     long id;
--- a/src/main/java/trestlegrade/sidecar/Heads.java
+++ b/src/main/java/trestlegrade/sidecar/Heads.java
@@ -37,8 +37,8 @@
         return onward;
     }
 
-    /** A hop as it is written: all as it came, but the time that is left (tenths of a millisecond). */
-    static FullHttpRequest hop(Exchange exchange, long left) {
+    /** An attempt as it is written: all as it came, but the time that is left (tenths of a millisecond). */
+    static FullHttpRequest attempt(Exchange exchange, long left) {
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(exchange.method), exchange.uri,
                 ((BufferInternal) exchange.body).getByteBuf(), new DefaultHttpHeaders(false), NO_TRAILER);
--- a/src/main/java/trestlegrade/sidecar/PooledConnection.java
+++ b/src/main/java/trestlegrade/sidecar/PooledConnection.java
@@ -12,18 +12,18 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import trestlegrade.sidecar.Roster.Endpoint;
 
-/** One connection to an endpoint, which carries one hop at a time and reads its answer. */
+/** One connection to an endpoint, which carries one attempt at a time and reads its answer. */
 final class PooledConnection implements Answers.Reader {
 
-    /** Told how the hop on a connection fares. */
+    /** Told how the attempt on a connection fares. */
     interface Owner {
-        void answered(Hop hop);
+        void answered(Attempt attempt);
 
         /** It may have run, and its connection is of no further use. */
-        void spoilt(Hop hop, String why);
+        void spoilt(Attempt attempt, String why);
 
         /** A part of the answer has come. */
-        void unfinished(Hop hop);
+        void unfinished(Attempt attempt);
     }
 
     final Endpoint endpoint;
@@ -36,7 +36,7 @@
     boolean rested;
     int rests;
     int carried;
-    Hop hop;
+    Attempt attempt;
     /** Why it ends, once this side has decided that; else the endpoint did. */
     String reason;
     boolean closed;
@@ -47,16 +47,16 @@
         this.opened = opened;
         this.owner = owner;
         socket.channelHandlerContext().pipeline().addBefore("handler", "answers", new Answers(this))
-                .addBefore("handler", "hops", new HttpRequestEncoder());
+                .addBefore("handler", "attempts", new HttpRequestEncoder());
         socket.messageHandler(this::read);
         socket.exceptionHandler(e -> { });
     }
 
     /** The future is done with its last byte. */
-    Future<Void> write(Hop next, long now) {
-        hop = next;
+    Future<Void> write(Attempt next, long now) {
+        attempt = next;
         carried++;
-        return socket.writeMessage(Heads.hop(next.exchange, next.exchange.end - now));
+        return socket.writeMessage(Heads.attempt(next.exchange, next.exchange.end - now));
     }
 
     private void read(Object part) {
@@ -65,21 +65,21 @@
                 return;
             }
             if (part instanceof HttpResponse head) {
-                hop.head = head;
+                attempt.head = head;
                 body = Buffer.buffer();
                 if (Heads.length(head.headers().get("Content-Length")) > Front.LONGEST_BODY) {
-                    owner.spoilt(hop, "oversized");
+                    owner.spoilt(attempt, "oversized");
                 }
             } else if (part instanceof HttpContent content) {
                 if (body.length() + content.content().readableBytes() > Front.LONGEST_BODY) {
-                    owner.spoilt(hop, "oversized");
+                    owner.spoilt(attempt, "oversized");
                     return;
                 }
                 body.appendBuffer(BufferInternal.buffer(content.content()));
                 if (part instanceof LastHttpContent) {
-                    hop.answer = body;
+                    attempt.answer = body;
                     body = null;
-                    owner.answered(hop);
+                    owner.answered(attempt);
                 }
             }
         } finally {
@@ -89,12 +89,12 @@
 
     @Override
     public boolean awaits() {
-        return hop != null && hop.answer == null && !hop.ended && reason == null;
+        return attempt != null && attempt.answer == null && !attempt.ended && reason == null;
     }
 
     @Override
     public boolean bodiless() {
-        return hop != null && hop.exchange.method.equals("HEAD");
+        return attempt != null && attempt.exchange.method.equals("HEAD");
     }
 
     @Override
@@ -104,12 +104,12 @@
 
     @Override
     public void spoilt() {
-        owner.spoilt(hop, "spoilt");
+        owner.spoilt(attempt, "spoilt");
     }
 
     @Override
     public void unfinished() {
-        owner.unfinished(hop);
+        owner.unfinished(attempt);
     }
 
     void whenClosed(Runnable then) {
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -34,7 +34,7 @@
     private final Clock clock;
     private final Commission commission;
     private final Desk desk;
-    private final Hops hops;
+    private final Attempts attempts;
     private final Roster roster;
     private final Buffer body = Buffer.buffer(new byte[500]);
     private final Promise<Integer> done = Promise.promise();
@@ -52,8 +52,8 @@
         Counters counters = new Counters(log);
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
         // This sidecar itself sends nothing behind an answer.
-        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission, 1);
-        roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, counters);
+        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, 1);
+        roster = new Roster(commission.zones(), commission.kinds(), attempts::outdated, counters);
         quickRound = quickRound(commission.agreedRate());
         begun = clock.now();
         roundBegun = begun;
@@ -68,7 +68,7 @@
     Future<Integer> play() {
         JsonObject self = new JsonObject().put("name", "self").put("address", commission.listen().toString())
                 .put("status", "active");
-        desk.start(roster, hops, () -> { }, new JsonArray().add(self));
+        desk.start(roster, attempts, () -> { }, new JsonArray().add(self));
         for (int i = 0; i < AT_ONCE; i++) {
             ask();
         }
@@ -93,7 +93,7 @@
         if (!enough) {
             ask();
         } else if (ended == asked) {
-            hops.close();
+            attempts.close();
             done.complete(ended);
         }
     }
--- a/src/main/java/trestlegrade/sidecar/Roster.java
+++ b/src/main/java/trestlegrade/sidecar/Roster.java
@@ -139,7 +139,7 @@
         return null;
     }
 
-    /** One that has left is forgotten; hops that are out to it keep it until they end. */
+    /** One that has left is forgotten; attempts that are out to it keep it until they end. */
     private void remove(Endpoint endpoint) {
         byId.remove(endpoint.id);
         endpoint.active = false;
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -27,7 +27,7 @@
     /** With the settings as they are now. */
     private Commission inForce;
     private Desk desk;
-    private Hops hops;
+    private Attempts attempts;
     private Front front;
     private Discovery discovery;
 
@@ -130,13 +130,13 @@
         long begun = clock.now();
         Lateness lateness = new Lateness(vertx, clock, counters.loopLate);
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
-        hops = new Hops(vertx, clock, counters, lateness, desk::hopEnded, commission, Hops.SETTLED);
-        Roster roster = new Roster(commission.zones(), commission.kinds(), hops::outdated, counters);
+        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, Attempts.SETTLED);
+        Roster roster = new Roster(commission.zones(), commission.kinds(), attempts::outdated, counters);
         discovery = new Discovery(vertx, clock, counters, lateness, commission.discovery(),
                 commission.version(), desk);
         discovery.adopt(commission.terms());
         front = new Front(vertx, context, clock, counters, desk, roster, commission, clients, door, lateness);
-        desk.start(roster, hops, discovery::watch, commission.known());
+        desk.start(roster, attempts, discovery::watch, commission.known());
         return discovery.relied().compose(v -> front.listen())
                 .onFailure(e -> log.add(() -> Logger.error("serve code=listen-failed listen={} cause={}",
                         commission.listen(), e.getMessage())))
@@ -179,7 +179,7 @@
     private void adopt(Commission told) {
         if (!told.sameSettings(inForce)) {
             inForce = told;
-            hops.adopt(told);
+            attempts.adopt(told);
             front.adopt(told);
             discovery.adopt(told.terms());
             desk.adopt(told.terms(), commission.seed(),
--- a/src/test/java/trestlegrade/ColdFleetTest.java
+++ b/src/test/java/trestlegrade/ColdFleetTest.java
@@ -63,7 +63,7 @@
         private Balance balance;
         private final double rate;
         private long nextTx = 1;
-        private final Map<Long, Integer> hops = new HashMap<>();
+        private final Map<Long, Integer> attempts = new HashMap<>();
 
         Sidecar(int number, int sidecars, double rate) {
             this.rate = rate;
@@ -91,14 +91,14 @@
 
         @Override
         public void send(long tx, long server, long timeout) {
-            int hop = hops.merge(tx, 1, Integer::sum) - 1;
+            int attempt = attempts.merge(tx, 1, Integer::sum) - 1;
             count(server);
             double took = WORK * (0.5 + random.nextDouble()) / warmth(server);
-            in(took, () -> balance.hopEnded(now, tx, hop, Outcome.COMMITTED, (long) took, true));
+            in(took, () -> balance.attemptEnded(now, tx, attempt, Outcome.COMMITTED, (long) took, true));
         }
 
         @Override
-        public void callOff(long tx, int hop) { }
+        public void callOff(long tx, int attempt) { }
 
         @Override
         public void rollBack(long tx, long pause) { }
--- a/src/test/java/trestlegrade/Desk.java
+++ b/src/test/java/trestlegrade/Desk.java
@@ -11,7 +11,7 @@
  * A sidecar's decisions with a fleet of ten servers (ids 100 to 109), whose answers the test gives by hand.
  */
 final class Desk implements Outlet {
-    record Sent(long tx, long server, long timeout, int hop) { }
+    record Sent(long tx, long server, long timeout, int attempt) { }
 
     final List<Sent> sent = new ArrayList<>();
     private final List<Long> sentAt = new ArrayList<>();
@@ -19,15 +19,15 @@
     final List<Long> calledOff = new ArrayList<>();
     private final List<Sent> out = new ArrayList<>();
     private final Map<Sent, Long> due = new HashMap<>();
-    private final Map<Long, Integer> hops = new HashMap<>();
+    private final Map<Long, Integer> attempts = new HashMap<>();
     int subscriptions;
     long now = 1_000_000;
     long nextTx = 1;
     final Balance balance;
 
     /** Profiles 0 idempotent, 1 journalled, 2 non-idempotent; goal 0.5 s, hard limit 1 s; and further settings. */
-    Desk(Group group, int maxHops, String... further) {
-        this(7, group, maxHops, further);
+    Desk(Group group, int maxAttempts, String... further) {
+        this(7, group, maxAttempts, further);
     }
 
     /** One of several that differ by chance alone. */
@@ -35,7 +35,7 @@
         this(seed, Group.CELL, 3);
     }
 
-    Desk(long seed, Group group, int maxHops, String... further) {
+    Desk(long seed, Group group, int maxAttempts, String... further) {
         StringBuilder settings = new StringBuilder("""
                 n_instances=4
                 ceilings.cancelling=true
@@ -48,7 +48,7 @@
                 safety.fall_multiple=3
                 safety.fall=1000
                 profiles.count=3
-                """).append("ceilings.max_hops=").append(maxHops).append('\n');
+                """).append("ceilings.max_hops=").append(maxAttempts).append('\n');
         for (int i = 0; i < 3; i++) {
             String at = "profiles." + i + ".";
             settings.append(at + "service_goal=500\n" + at + "hard_limit=1000\n" + at + "revenue=" + (1 + i) + "\n"
@@ -82,7 +82,7 @@
         return nextTx++;
     }
 
-    /** When a hop was sent, by its place among all. */
+    /** When an attempt was sent, by its place among all. */
     long sentAt(int place) {
         return place < sentAt.size() ? sentAt.get(place) : Long.MAX_VALUE;
     }
@@ -91,8 +91,8 @@
         return sent.get(sent.size() - 1);
     }
 
-    void end(Sent hop, Outcome outcome, long took) {
-        balance.hopEnded(now, hop.tx(), hop.hop(), outcome, took, outcome == Outcome.COMMITTED);
+    void end(Sent attempt, Outcome outcome, long took) {
+        balance.attemptEnded(now, attempt.tx(), attempt.attempt(), outcome, took, outcome == Outcome.COMMITTED);
     }
 
     void pass(long span) {
@@ -104,7 +104,7 @@
 
     /**
      * Sends steady idempotent traffic, one every 2 ms; a server takes 20 ms, the odd one what {@code oddTook}
-     * says with {@code oddOutcome}, or never answers if that is null. Returns how many hops the odd one got.
+     * says with {@code oddOutcome}, or never answers if that is null. Returns how many attempts the odd one got.
      */
     int traffic(long span, long odd, Outcome oddOutcome, long oddTook) {
         int first = sent.size();
@@ -136,11 +136,11 @@
     @Override
     public void send(long tx, long endpoint, long timeout) {
         sentAt.add(now);
-        sent.add(new Sent(tx, endpoint, timeout, hops.merge(tx, 1, Integer::sum) - 1));
+        sent.add(new Sent(tx, endpoint, timeout, attempts.merge(tx, 1, Integer::sum) - 1));
     }
 
     @Override
-    public void callOff(long tx, int hop) {
+    public void callOff(long tx, int attempt) {
         calledOff.add(tx);
     }
 
--- a/src/test/java/trestlegrade/GradesTest.java
+++ b/src/test/java/trestlegrade/GradesTest.java
@@ -17,7 +17,7 @@
 /** The drop rate, the ring, and what leaves it early. */
 class GradesTest {
 
-    /** The odd server's drop rate after a while of such hops. */
+    /** The odd server's drop rate after a while of such attempts. */
     @ParameterizedTest
     @CsvSource({
         "COMMITTED, 200, 5, 0,    0",
@@ -27,30 +27,31 @@
     })
     void dropRate(Outcome outcome, long took, int seconds, double least, double most) {
         Desk desk = new Desk().fleet(State.READY, 0);
-        int hops = desk.traffic(seconds * 10_000L, 103, outcome, took);
+        int attempts = desk.traffic(seconds * 10_000L, 103, outcome, took);
         double drop = desk.balance.server(103).drop;
         assertTrue(drop >= least && drop <= most, "drop rate " + drop);
-        assertTrue(hops > 0);
+        assertTrue(attempts > 0);
     }
 
     /** Most servers fail one profile and commit the other: each profile goes where it is committed. */
     @Test
     void oneProfileFails() {
         Desk desk = new Desk().fleet(State.READY, 0);
-        int[][] hops = new int[3][2];
+        int[][] attempts = new int[3][2];
         for (int i = 0; i < 3_000; i++) {
             int profile = i % 2 * 2;
             desk.now += 50;
             desk.balance.woken(desk.now);
             desk.arrive(profile);
-            Desk.Sent hop = desk.last();
-            boolean bad = hop.server() >= 104;
-            hops[profile][bad ? 1 : 0] += i < 300 ? 0 : 1;
+            Desk.Sent attempt = desk.last();
+            boolean bad = attempt.server() >= 104;
+            attempts[profile][bad ? 1 : 0] += i < 300 ? 0 : 1;
             desk.now += 50;
-            desk.end(hop, bad && profile == 2 ? Outcome.ERROR : Outcome.COMMITTED, 200);
+            desk.end(attempt, bad && profile == 2 ? Outcome.ERROR : Outcome.COMMITTED, 200);
         }
-        assertTrue(hops[2][1] < hops[2][0] / 8, hops[2][1] + " of the failing profile at servers that fail it");
-        assertTrue(hops[0][1] > hops[0][0] / 4, hops[0][1] + " of the other profile at the same servers");
+        assertTrue(attempts[2][1] < attempts[2][0] / 8,
+                attempts[2][1] + " of the failing profile at servers that fail it");
+        assertTrue(attempts[0][1] > attempts[0][0] / 4, attempts[0][1] + " of the other profile at the same servers");
     }
 
     /** What fails now and then everywhere alike moves no profile. */
@@ -58,18 +59,18 @@
     @ValueSource(ints = {10, 20})
     void failuresOfAllCondemnNone(int oneIn) {
         Desk desk = new Desk().fleet(State.READY, 0);
-        int[] hops = new int[10];
+        int[] attempts = new int[10];
         for (int i = 0; i < 3_000; i++) {
             desk.now += 100;
             desk.balance.woken(desk.now);
             desk.arrive(2);
-            Desk.Sent hop = desk.last();
-            hops[(int) hop.server() - 100]++;
+            Desk.Sent attempt = desk.last();
+            attempts[(int) attempt.server() - 100]++;
             desk.now += 100;
-            desk.end(hop, i % oneIn == 0 ? Outcome.ERROR : Outcome.COMMITTED, 200);
+            desk.end(attempt, i % oneIn == 0 ? Outcome.ERROR : Outcome.COMMITTED, 200);
         }
-        Arrays.sort(hops);
-        assertTrue(hops[9] < 3 * hops[0], hops[0] + " to " + hops[9]);
+        Arrays.sort(attempts);
+        assertTrue(attempts[9] < 3 * attempts[0], attempts[0] + " to " + attempts[9]);
     }
 
     /** Moves at most a quarter in 5 s, comes back as it went, and leaves the floor of one point. */
@@ -80,7 +81,7 @@
         assertTrue(desk.balance.server(103).drop <= 0.25 + 1e-9);
         desk.traffic(300_000, 103, Outcome.COMMITTED, 800);
         assertEquals(1, desk.balance.server(103).drop);
-        assertTrue(desk.traffic(100_000, 103, Outcome.COMMITTED, 800) > 0, "the floor still gets hops");
+        assertTrue(desk.traffic(100_000, 103, Outcome.COMMITTED, 800) > 0, "the floor still gets attempts");
         desk.pass(360_000);
         assertEquals(0.5, desk.balance.server(103).drop, 0.3, "few calls ease down");
         desk.pass(150_000);
@@ -94,9 +95,9 @@
         desk.traffic(30_000, -1, null, 0);
         for (int i = 0; i < 300; i++) {
             desk.arrive(0);
-            Desk.Sent hop = desk.last();
+            Desk.Sent attempt = desk.last();
             desk.pass(1_000);
-            desk.end(hop, Outcome.COMMITTED, 1_000);
+            desk.end(attempt, Outcome.COMMITTED, 1_000);
         }
         for (long id = 100; id < 110; id++) {
             assertTrue(desk.balance.server(id).drop < 0.3);
@@ -119,12 +120,12 @@
             out.addAll(desk.sent.subList(before, desk.sent.size()));
             for (int beat = 0; beat < 8; beat++) {
                 desk.pass(100);
-                for (Desk.Sent hop : List.copyOf(out)) {
-                    long age = desk.now - desk.sentAt(desk.sent.indexOf(hop));
-                    boolean mute = i >= 100 && hop.server() < 100 + silent;
+                for (Desk.Sent attempt : List.copyOf(out)) {
+                    long age = desk.now - desk.sentAt(desk.sent.indexOf(attempt));
+                    boolean mute = i >= 100 && attempt.server() < 100 + silent;
                     if (age >= (mute ? 10_000 : 1_300)) {
-                        out.remove(hop);
-                        desk.end(hop, mute ? Outcome.TIMED_OUT : Outcome.COMMITTED, age);
+                        out.remove(attempt);
+                        desk.end(attempt, mute ? Outcome.TIMED_OUT : Outcome.COMMITTED, age);
                     }
                 }
             }
@@ -158,8 +159,8 @@
         Desk desk = new Desk().fleet(State.READY, 0);
         desk.balance.listed(desk.now, List.of(new Listed(103, 0, 0, 1, State.READY, weight, 0)),
                 false, false);
-        int hops = desk.traffic(100_000, 103, Outcome.COMMITTED, 200);
-        assertEquals(share, hops / (double) desk.sent.size(), 0.015);
+        int attempts = desk.traffic(100_000, 103, Outcome.COMMITTED, 200);
+        assertEquals(share, attempts / (double) desk.sent.size(), 0.015);
     }
 
     /**
@@ -170,9 +171,9 @@
     void leftEarly(Outcome outcome, long took, int most) {
         Desk desk = new Desk().fleet(State.READY, 0);
         desk.traffic(20_000, -1, null, 0);
-        int hops = desk.traffic(50_000, 103, outcome, took);
+        int attempts = desk.traffic(50_000, 103, outcome, took);
         assertTrue(desk.balance.server(103).shut);
-        assertTrue(hops <= most, "still got " + hops + " of about 2500 hops");
+        assertTrue(attempts <= most, "still got " + attempts + " of about 2500 attempts");
         for (Desk.Sent each : List.copyOf(desk.sent)) {
             if (each.server() == 103) {
                 desk.end(each, Outcome.CALLED_OFF, 1);
@@ -181,12 +182,12 @@
         desk.traffic(100_000, 103, Outcome.COMMITTED, 200);
         assertFalse(desk.balance.server(103).shut);
         int back = desk.traffic(20_000, 103, Outcome.COMMITTED, 200);
-        assertTrue(back > 30, "only " + back + " of about 100 hops");
+        assertTrue(back > 30, "only " + back + " of about 100 attempts");
     }
 
-    /** Incident ic8467a: hops stuck at one server are no sign that all servers are crowded. */
+    /** Incident ic8467a: attempts stuck at one server are no sign that all servers are crowded. */
     @Test
-    void stuckHopsDropNoCalls() {
+    void stuckAttemptsDropNoCalls() {
         Desk desk = new Desk(Group.ALL, 3).fleet(State.READY, 0);
         desk.traffic(20_000, -1, null, 0);
         desk.traffic(7_000, 103, null, 0);
@@ -204,10 +205,10 @@
         }
         for (int i = 0; i < 60; i++) {
             desk.arrive(0);
-            Desk.Sent hop = desk.last();
-            long took = hop.server() < 104 ? 900 : 300;
+            Desk.Sent attempt = desk.last();
+            long took = attempt.server() < 104 ? 900 : 300;
             desk.pass(took);
-            desk.end(hop, Outcome.COMMITTED, took);
+            desk.end(attempt, Outcome.COMMITTED, took);
             desk.pass(5_000 - took);
         }
         for (long id = 100; id < 110; id++) {
@@ -221,15 +222,15 @@
         Desk desk = new Desk().fleet(State.READY, 0);
         for (int i = 0; i < 600; i++) {
             desk.arrive(0);
-            for (Desk.Sent hop = null; hop != desk.last(); ) {
-                hop = desk.last();
+            for (Desk.Sent attempt = null; attempt != desk.last(); ) {
+                attempt = desk.last();
                 desk.pass(200);
-                desk.end(hop, hop.server() < 104 ? Outcome.ERROR : Outcome.COMMITTED, 200);
+                desk.end(attempt, attempt.server() < 104 ? Outcome.ERROR : Outcome.COMMITTED, 200);
             }
             desk.pass(4_400);
         }
-        long late = desk.sent.stream().filter(s -> s.tx() > 300 && s.hop() == 0 && s.server() < 104).count();
-        assertTrue(late > 0 && late < 30, late + " of 300 first hops went to failing servers");
+        long late = desk.sent.stream().filter(s -> s.tx() > 300 && s.attempt() == 0 && s.server() < 104).count();
+        assertTrue(late > 0 && late < 30, late + " of 300 first attempts went to failing servers");
     }
 
     /** Losing most of the fleet to silence leaves a third of it in use. */
@@ -303,7 +304,7 @@
     void atHome(double fee, long took, double least, double most) {
         Desk desk = new Desk("fees.cross_zone=" + fee, "zone=1").fleet(State.READY, 0);
         desk.traffic(30_000, -1, null, 0);
-        List.copyOf(desk.sent).forEach(hop -> desk.end(hop, Outcome.COMMITTED, 200));
+        List.copyOf(desk.sent).forEach(attempt -> desk.end(attempt, Outcome.COMMITTED, 200));
         int before = desk.sent.size();
         for (int i = 0, ended = before; i < 2_000; i++) {
             long due = desk.now - took;
@@ -338,9 +339,9 @@
 
     private static long keyed(Desk desk, long key) {
         desk.balance.arrived(desk.now, desk.nextTx++, 0, 0, key, 10_000, 0);
-        Desk.Sent hop = desk.last();
-        desk.end(hop, Outcome.COMMITTED, 200);
-        return hop.server();
+        Desk.Sent attempt = desk.last();
+        desk.end(attempt, Outcome.COMMITTED, 200);
+        return attempt.server();
     }
 
     /** In a jam the profile with the least revenue goes first, unless the goal counts the worst-served one. */
--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -16,7 +16,7 @@
 /** The four rules. */
 class RulesTest {
 
-    /** After one hop has ended so: sent again anywhere, within the group, or ended how. */
+    /** After one attempt has ended so: sent again anywhere, within the group, or ended how. */
     @ParameterizedTest
     @CsvSource({
         "0, CELL, ERROR,         again",
@@ -71,7 +71,7 @@
             desk.list(200 + i, State.READY, 0);
             assertFalse(desk.balance.server(200 + i).shut);
             assertEquals(0, desk.balance.server(200 + i).failedInRow);
-            // A hop that is still out keeps its server apart until it ends.
+            // An attempt that is still out keeps its server apart until it ends.
             assertTrue(i >= 9 || desk.balance.server(out.server()) != null, "generation " + i);
             assertTrue(i < 20 || desk.balance.server(200 + i - 20) == null, "generation " + i);
             assertTrue(desk.balance.server(200 + i).index <= 11, "place " + desk.balance.server(200 + i).index);
@@ -84,7 +84,7 @@
 
     /** A journalled transaction that may have run is neither resent past its window nor rolled back. */
     @Test
-    void windowCountsFromTheFirstHopThatMayHaveRun() {
+    void windowCountsFromTheFirstAttemptThatMayHaveRun() {
         Desk desk = new Desk(Group.CELL, 3).fleet(State.READY, 0);
         desk.balance.arrived(desk.now, 9, 1, 0, 0, 100_000, 0);
         desk.now += 19_500;
@@ -93,23 +93,23 @@
         assertEquals(List.of("abandoned 9"), desk.answers);
     }
 
-    /** A lost hop is called off, and only its end brings a further one: there are never two out at once. */
+    /** A lost attempt is called off, and only its end brings a further one: there are never two out at once. */
     @ParameterizedTest
     @CsvSource({"0, true, 2", "1, true, 2", "2, true, 1", "0, false, 1"})
-    void lostHops(int profile, boolean cancelling, int hops) {
+    void lostAttempts(int profile, boolean cancelling, int attempts) {
         Desk desk = new Desk(Group.ALL, 3, "ceilings.cancelling=" + cancelling).fleet(State.READY, 0);
         desk.traffic(20_000, -1, null, 0);
-        List.copyOf(desk.sent).forEach(hop -> desk.end(hop, Outcome.COMMITTED, 200));
+        List.copyOf(desk.sent).forEach(attempt -> desk.end(attempt, Outcome.COMMITTED, 200));
         int before = desk.sent.size();
         desk.balance.arrived(desk.now, 99_999, profile, 0, 0, 20_000, 0);
         desk.pass(12_500);
         assertEquals(before + 1, desk.sent.size());
-        assertEquals(hops > 1, desk.calledOff.contains(99_999L));
-        if (hops > 1) {
+        assertEquals(attempts > 1, desk.calledOff.contains(99_999L));
+        if (attempts > 1) {
             desk.end(desk.last(), Outcome.CALLED_OFF, 12_500);
         }
         desk.pass(1_000);
-        assertEquals(before + hops, desk.sent.size());
+        assertEquals(before + attempts, desk.sent.size());
     }
 
     @ParameterizedTest
@@ -123,14 +123,14 @@
     void oneFinalAnswerAtTheEnd(int profile, Outcome outcome, String expected) {
         Desk desk = new Desk(Group.CELL, 1).fleet(State.READY, 0);
         long tx = desk.arrive(profile);
-        Desk.Sent hop = desk.last();
+        Desk.Sent attempt = desk.last();
         if (outcome != null) {
             desk.now += 10_000;
-            desk.end(hop, outcome, 10_000);
+            desk.end(attempt, outcome, 10_000);
         }
         desk.pass(10_200);
         assertEquals(List.of(expected + " " + tx), desk.answers);
-        desk.end(hop, Outcome.BROKEN, 10_300);
+        desk.end(attempt, Outcome.BROKEN, 10_300);
         desk.balance.clientLeft(desk.now, tx);
         desk.pass(20_000);
         assertEquals(1, desk.sent.size());
@@ -172,7 +172,7 @@
         assertEquals(List.of("rolled back " + tx), desk.answers);
     }
 
-    /** Nothing new from the moment the sidecar is told, further hops included. */
+    /** Nothing new from the moment the sidecar is told, further attempts included. */
     @ParameterizedTest
     @ValueSource(strings = {"draining", "gone", "missing"})
     void drains(String how) {
@@ -273,7 +273,7 @@
 
     /**
      * A cold server among warm ones, under a burst of ten times the usual: in no span of the rule's length
-     * does it get more than this sidecar's part of what the rule allows. Warm ones carried 50 hops/s each.
+     * does it get more than this sidecar's part of what the rule allows. Warm ones carried 50 attempts/s each.
      */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
--- a/src/test/java/trestlegrade/sidecar/GoneClientIT.java
+++ b/src/test/java/trestlegrade/sidecar/GoneClientIT.java
@@ -17,7 +17,7 @@
 
 /**
  * A client leaves while its transaction waits: in each place where one can wait nothing is written for it from then on,
- * whether the settings allow to call hops off or not. The client's end is known before the wait ends, in each test.
+ * whether the settings allow to call attempts off or not. The client's end is known before the wait ends, in each test.
  */
 class GoneClientIT extends Loopback {
 
@@ -38,7 +38,7 @@
     /** The endpoint's queue is full, so connections to it come up only once the test has made room. */
     @ParameterizedTest
     @CsvSource({"true, quote", "false, quote", "true, post-charge", "false, post-charge"})
-    void whileItsHopConnects(boolean cancelling, String profile) throws Exception {
+    void whileItsAttemptConnects(boolean cancelling, String profile) throws Exception {
         terms(cancelling);
         try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             List<Socket> queue = new ArrayList<>();
@@ -69,7 +69,7 @@
             assertEquals(-1, first, "written for a client that had left");
             up.close();
         }
-        assertEquals(0, counters().getLong("hops_sent"));
+        assertEquals(0, counters().getLong("attempts_sent"));
     }
 
     /** No endpoint may take it until the list brings one. */
@@ -93,10 +93,10 @@
         assertEquals(1, endpoint.seen.size());
     }
 
-    /** The hop before ends once the client has left. */
+    /** The attempt before ends once the client has left. */
     @ParameterizedTest
     @CsvSource({"true, turned-away", "false, turned-away", "true, breaks", "false, breaks"})
-    void whileItsHopIsOutThatWouldBeRepeated(boolean cancelling, String end) throws Exception {
+    void whileItsAttemptIsOutThatWouldBeRepeated(boolean cancelling, String end) throws Exception {
         terms(cancelling);
         Gate gate = new Gate();
         Function<String, String> answers = r -> {
@@ -115,7 +115,7 @@
         client.close();
         leftIsKnown();
         gate.open();
-        eventually(() -> counters().getJsonObject("hops_ended").size() > 0);
+        eventually(() -> counters().getJsonObject("attempts_ended").size() > 0);
         another();
         assertEquals(2, first.seen.size() + second.seen.size());
     }
@@ -210,7 +210,7 @@
         client.close();
         leftIsKnown();
         gate.open();
-        eventually(() -> cancelling || counters().getJsonObject("hops_ended").size() > 0);
+        eventually(() -> cancelling || counters().getJsonObject("attempts_ended").size() > 0);
         another();
         assertEquals(2, endpoint.seen.size());
         assertEquals(2, counters().getLong("taken"));
--- a/src/test/java/trestlegrade/sidecar/ListsIT.java
+++ b/src/test/java/trestlegrade/sidecar/ListsIT.java
@@ -308,10 +308,10 @@
         assertEquals(0, shares("t")[0]);
     }
 
-    /** A hop waits for its connection while the list says that its endpoint drains, left, or left and is there again. */
+    /** An attempt waits for its connection while the list says that its endpoint drains, left, or is there again. */
     @ParameterizedTest
     @CsvSource({"leaving, true", "left, true", "again, true", "leaving, false", "left, false", "again, false"})
-    void whatTheListSaysWhileAHopConnects(String says, boolean cancelling) throws Exception {
+    void whatTheListSaysWhileAnAttemptConnects(String says, boolean cancelling) throws Exception {
         settings().getJsonObject("ceilings").put("cancelling", cancelling).put("dial_timeout", 8_000);
         try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             List<Socket> queue = new ArrayList<>();
--- a/src/test/java/trestlegrade/sidecar/PooledConnectionsIT.java
+++ b/src/test/java/trestlegrade/sidecar/PooledConnectionsIT.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** What an endpoint sends or ends on a connection meets the next hop that would take it. */
+/** What an endpoint sends or ends on a connection meets the next attempt that would take it. */
 class PooledConnectionsIT extends Loopback {
 
     /**
@@ -20,7 +20,7 @@
     @ValueSource(strings = {"quote", "post-charge"})
     void aSecondAnswerThatComesLateReachesNobody(String profile) throws Exception {
         Stub endpoint = endpoint(r -> {
-            // The next hop's own answer comes later than the stray one.
+            // The next attempt's own answer comes later than the stray one.
             pause(12);
             return answer(200, "", header(r, "X-Trace-Id"));
         });
@@ -48,7 +48,7 @@
             clients.add(client());
             clients.get(i).ask(transaction("quote", "t" + i, 900));
         }
-        // Rested, so that hops which may not be repeated are trusted to them too.
+        // Rested, so that attempts which may not be repeated are trusted to them too.
         pause(100);
         int pooled = endpoint.connections;
         signal("STOP");
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -73,7 +73,7 @@
         assertTrue(client().ask(transaction("quote", "t", 900)).startsWith("HTTP/1.1 200 "));
         List<String> loaded = Files.readAllLines(dir.resolve("log"), StandardCharsets.ISO_8859_1).stream()
                 .filter(line -> line.contains("[class,load")).toList();
-        assertTrue(loaded.stream().anyMatch(line -> line.contains("trestlegrade.sidecar.Hops")));
+        assertTrue(loaded.stream().anyMatch(line -> line.contains("trestlegrade.sidecar.Attempts")));
         assertEquals(List.of(), loaded.stream().filter(line -> line.contains("ChunkEvent")
                 || line.contains("BufferEvent") || line.contains("picocli")).toList());
     }
@@ -99,7 +99,7 @@
         assertEquals(round, Rehearsal.quickRound(agreedRate));
     }
 
-    /** One bad endpoint beside a good one; what the client gets, and whether the bad one's hops may be repeated. */
+    /** One bad endpoint beside a good one; what the client gets, and whether the bad one's attempts may be repeated. */
     @ParameterizedTest
     @CsvSource({
         "quote, turned-away, 200", "post-charge, turned-away, 200",
@@ -153,7 +153,7 @@
         "HTTP/1.1 200 OK\\r\\n\\r\\nwhere does it end|spoilt",
         "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\nzz\\r\\n|spoilt",
         "HTTP/1.1 200 OK\\r\\nContent-Length: 3000000000\\r\\n\\r\\nmuch|oversized"}, delimiter = '|')
-    void aSpoiltAnswerIsAHopThatMayHaveRun(String answer, String code) throws Exception {
+    void aSpoiltAnswerIsAnAttemptThatMayHaveRun(String answer, String code) throws Exception {
         AtomicInteger asked = new AtomicInteger();
         Function<String, String> oddOnesSpoilt = r -> asked.getAndIncrement() % 2 == 0
                 ? answer.replace("\\r", "\r").replace("\\n", "\n") : answer(200, "", header(r, "X-Trace-Id"));
@@ -203,7 +203,8 @@
                 }
             }
         }
-        assertTrue(kept ? endpoint.connections < 60 : endpoint.connections >= 200, endpoint.connections + " connections");
+        assertTrue(kept ? endpoint.connections < 60 : endpoint.connections >= 200,
+                endpoint.connections + " connections");
     }
 
     @ParameterizedTest
@@ -357,7 +358,7 @@
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < room; i++) {
             clients.add(client());
-            if (i < Descriptors.forHops(sockets).most()) {
+            if (i < Descriptors.forAttempts(sockets).most()) {
                 clients.get(i).write(transaction("quote", "t" + i, 30_000));
                 eventually(() -> endpoint.seen.size() == clients.size());
             }
@@ -406,7 +407,7 @@
         assertEquals(2, endpoint.connections);
     }
 
-    /** The endpoint ends connections idle for 0.15 s under the next hop: that costs one transaction, not all. */
+    /** The endpoint ends connections idle for 0.15 s under the next attempt: that costs one transaction, not all. */
     @Test
     void connectionsThatBreakAfterIdlingAreNotTrustedAgain() throws Exception {
         AtomicInteger pooled = new AtomicInteger();
@@ -457,7 +458,7 @@
     }
 
     @Test
-    void anAnswerThatEndsItsConnectionIsNotFollowedByAnotherHop() throws Exception {
+    void anAnswerThatEndsItsConnectionIsNotFollowedByAnotherAttempt() throws Exception {
         Stub endpoint = endpoint(r -> answer(200, "Connection: close\r\n", "good"));
         serve();
         Client client = client();
@@ -469,7 +470,7 @@
 
     /** An endpoint whose machine says nothing takes no connection; nothing has been sent then, so all goes on. */
     @Test
-    void aConnectionThatNeverComesUpIsGivenUpAndTheHopGoesElsewhere() throws Exception {
+    void aConnectionThatNeverComesUpIsGivenUpAndTheAttemptGoesElsewhere() throws Exception {
         try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             for (int i = 0; i < 3; i++) {
                 Socket filler = new Socket();
--- a/src/test/java/trestlegrade/sidecar/SettingsIT.java
+++ b/src/test/java/trestlegrade/sidecar/SettingsIT.java
@@ -38,8 +38,8 @@
                         + names.indexOf(name) + field + "\r\n" + (field ? "X-Qos: " + bytes(name) + "\r\n" : "")
                         + "Content-Length: 0\r\n\r\n");
                 assertEquals("200", got.substring(9, 12), name + " " + field);
-                String hop = endpoint.seen.get(endpoint.seen.size() - 1);
-                double left = Double.parseDouble(header(hop, "X-Expires-In").replace("u", "")) / 1_000;
+                String attempt = endpoint.seen.get(endpoint.seen.size() - 1);
+                double left = Double.parseDouble(header(attempt, "X-Expires-In").replace("u", "")) / 1_000;
                 double limit = 1_000 * Math.pow(3, names.indexOf(name));
                 assertTrue(left > limit / 2 && left <= limit, name + " had " + left);
             }
@@ -52,7 +52,7 @@
         assertEquals(2 * names.size(), endpoint.seen.size());
     }
 
-    /** One hop at the most, nothing called off, no word when to come back: each transaction has its one answer in time. */
+    /** One attempt at the most, nothing called off, no word when to come back: each has its one answer in time. */
     @ParameterizedTest
     @ValueSource(ints = {60, 350, 10_000})
     void withEveryAllowanceOffEachHasItsOneAnswerInTime(int limit) throws Exception {
