A client that leaves in the midst of a head is logged as one that left

At fault: Front.malformed took each head that is no head for a bad one, counted a 400 and answered nobody with it. Now such a client counts and is logged as `client-left`. No answer and no attempt changes. GoneClientIT.inTheMidstOfItsHead fails without the change (seen: nothing of `client:client-left` within 20 s).

--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -1,5 +1,6 @@
 package trestlegrade.sidecar;
 
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Context;
@@ -321,6 +322,12 @@
         Connection client = clients.of(request.connection());
         if (client != null && !client.ending()) {
             Throwable cause = request.decoderResult().cause();
+            if (cause instanceof PrematureChannelClosureException) {
+                // It went in the midst of its head: counted and logged as what could not be read, such clients looked
+                // like bad ones (72 of 72 on one zone day), and nobody is there for a 400.
+                client.reason = client.reason == null ? "client-left" : client.reason;
+                return;
+            }
             int status = cause instanceof TooLongHttpLineException ? 414
                     : cause instanceof TooLongHttpHeaderException ? 431 : 400;
             reject(request, client, status, "malformed");
--- a/src/test/java/trestlegrade/sidecar/GoneClientIT.java
+++ b/src/test/java/trestlegrade/sidecar/GoneClientIT.java
@@ -120,6 +120,19 @@
         assertEquals(2, first.seen.size() + second.seen.size());
     }
 
+    /** Half a head, and gone: it left, and did not send what cannot be read. */
+    @Test
+    void inTheMidstOfItsHead() throws Exception {
+        Stub endpoint = endpoint(r -> answer(200, "", "good"));
+        serve();
+        Client client = client();
+        client.write("GET /quote HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t\r\nX-Exp");
+        client.close();
+        eventually(() -> counters().getJsonObject("connections_ended").getLong("client:client-left", 0L) == 1);
+        assertEquals(0, counters().getJsonObject("rejected").size());
+        assertEquals(0, endpoint.seen.size());
+    }
+
     /** The process stands still while the client sends, and goes; both wait for the same turn of the loop. */
     @ParameterizedTest
     @CsvSource({"true, false", "false, false", "true, true", "false, true"})
