Tests: starts, a thousand endpoints, and idle clients that keep all descriptors

Now who is turned away comes again, and still all twenty are committed and none goes to the endpoint that drains. It is stricter besides: the system holds the process to its 64 descriptors, and 640 idle clients wait for whatever is free. With the bound on clients' descriptors taken out it fails (discovery is not asked within 3.75 s); the form before passed without that.

--- a/src/test/java/trestlegrade/sidecar/ListsIT.java
+++ b/src/test/java/trestlegrade/sidecar/ListsIT.java
@@ -272,14 +272,19 @@
         discovery.answers = r -> answer(503, "", "");
         discovery.end(0, true);
         eventually(() -> discovery.seen.size() >= 2);
-        for (int i = 0; i < 3 * Descriptors.forClients(sockets).most(); i++) {
-            client();
+        // So many that others wait for whatever descriptor is free, for 20 s.
+        List<Client> idle = new ArrayList<>();
+        for (int i = 0; i < 10 * sockets; i++) {
+            idle.add(client());
         }
         discovery.answers = r -> HANG;
         int before = discovery.seen.size();
         // 2.75 s at the most, and a second for a busy machine.
         within(3_750, () -> discovery.seen.size() > before);
         discovery.line(list(9, false, entry(0, "leaving")));
+        for (Client each : idle.subList(idle.size() / 10, idle.size())) {
+            each.close();
+        }
         told(2);
         assertEquals(0, sharesInACrowd("t")[0]);
     }
--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -82,7 +82,11 @@
     }
 
     void start(String file) throws Exception {
-        Files.writeString(dir.resolve("config.json"), file);
+        process = start(file, dir.resolve("config.json"), dir.resolve("log"));
+    }
+
+    Process start(String file, Path config, Path log) throws Exception {
+        Files.writeString(config, file);
         List<String> command = new ArrayList<>();
         if (descriptorsBounded) {
             command.addAll(List.of("sh", "-c", "ulimit -n " + sockets + " && exec \"$@\"", "sh"));
@@ -90,12 +94,12 @@
         command.addAll(List.of("java", "-XX:SharedArchiveFile=target/trestlegrade.jsa", "@deploy/jvm.options", "-jar",
                 "target/trestlegrade.jar", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(output == null ? ProcessBuilder.Redirect.to(dir.resolve("log").toFile()) : output);
+                .redirectOutput(output == null ? ProcessBuilder.Redirect.to(log.toFile()) : output);
         if (verbose) {
             builder.environment().put("JAVA_TOOL_OPTIONS", "-Xlog:class+load");
         }
-        builder.environment().put("LB_CONFIG", dir.resolve("config.json").toString());
-        process = builder.start();
+        builder.environment().put("LB_CONFIG", config.toString());
+        return builder.start();
     }
 
     JsonObject configuration() throws IOException {
@@ -157,6 +161,10 @@
     }
 
     int health() {
+        return health(port);
+    }
+
+    static int health(int port) {
         try (Client client = new Client(port)) {
             return Integer.parseInt(client.ask("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n").substring(9, 12));
         } catch (IOException e) {
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/SizesIT.java
@@ -0,0 +1,217 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+
+/** As many endpoints and zones as the operators may list, with as many connections as the settings allow. */
+class SizesIT extends Loopback {
+    private static final int MANY = 1_024;
+    private static final int LIMIT_MB = 192;
+
+    /** All endpoints, each at an address of loopback of its own, on one thread; requests have no bodies. */
+    private static final class Fleet implements AutoCloseable, Runnable {
+        private static final byte[] ANSWER = Loopback.answer(200, "", "good").getBytes(StandardCharsets.ISO_8859_1);
+
+        private final Selector selector = Selector.open();
+        private final List<ServerSocketChannel> listeners = new ArrayList<>();
+        final Set<Integer> met = ConcurrentHashMap.newKeySet();
+        volatile int open;
+
+        Fleet(int endpoints) throws IOException {
+            for (int i = 0; i < endpoints; i++) {
+                ServerSocketChannel listener = ServerSocketChannel.open();
+                listener.bind(new InetSocketAddress("127.0." + (1 + i / 250) + "." + (1 + i % 250), 0), 100);
+                listener.configureBlocking(false);
+                listener.register(selector, SelectionKey.OP_ACCEPT, i);
+                listeners.add(listener);
+            }
+            Thread thread = new Thread(this);
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        JsonObject entry(int i, String status) throws IOException {
+            return new JsonObject().put("name", "s-" + i)
+                    .put("address", listeners.get(i).getLocalAddress().toString().substring(1)).put("zone", "zone-" + i)
+                    .put("type", "type-" + i).put("group", i).put("status", status).put("weight", 1.0)
+                    .put("since_ms", 0);
+        }
+
+        @Override
+        public void run() {
+            ByteBuffer bytes = ByteBuffer.allocate(1 << 16);
+            try {
+                while (selector.isOpen()) {
+                    selector.select();
+                    for (SelectionKey key : selector.selectedKeys()) {
+                        if (key.isAcceptable()) {
+                            SocketChannel channel = ((ServerSocketChannel) key.channel()).accept();
+                            channel.configureBlocking(false);
+                            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                            channel.register(selector, SelectionKey.OP_READ, key.attachment());
+                            open++;
+                        } else {
+                            answer((SocketChannel) key.channel(), (Integer) key.attachment(), bytes);
+                        }
+                    }
+                    selector.selectedKeys().clear();
+                }
+            } catch (IOException | RuntimeException e) {
+                // The test has ended.
+            }
+        }
+
+        private void answer(SocketChannel channel, int endpoint, ByteBuffer bytes) {
+            try {
+                bytes.clear();
+                if (channel.read(bytes) < 0) {
+                    channel.close();
+                    open--;
+                    return;
+                }
+                String got = new String(bytes.array(), 0, bytes.position(), StandardCharsets.ISO_8859_1);
+                if (got.endsWith("\r\n\r\n")) {
+                    met.add(endpoint);
+                    channel.write(ByteBuffer.wrap(ANSWER));
+                }
+            } catch (IOException e) {
+                open--;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            selector.close();
+            for (ServerSocketChannel each : listeners) {
+                each.close();
+            }
+        }
+    }
+
+    /** Each of these is committed; eight clients at once. */
+    private void transactions(int number, String trace) throws Exception {
+        ExecutorService clients = Executors.newFixedThreadPool(8);
+        try {
+            List<Future<Void>> done = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                String name = trace + i + "-";
+                Callable<Void> work = () -> {
+                    Client client = new Client(port);
+                    for (int j = 0; j < number / 8; j++) {
+                        String got = client.ask(transaction("quote", name + j, 9_000));
+                        assertTrue(got.startsWith("HTTP/1.1 200 "), got);
+                        if ("close".equalsIgnoreCase(header(got, "Connection"))) {
+                            client.close();
+                            client = new Client(port);
+                        }
+                    }
+                    client.close();
+                    return null;
+                };
+                done.add(clients.submit(work));
+            }
+            for (Future<Void> each : done) {
+                each.get();
+            }
+        } finally {
+            clients.shutdownNow();
+        }
+    }
+
+    /** While nothing changes, a watch brings an empty line at regular times. */
+    private void beats() {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    synchronized (discovery) {
+                        discovery.line("");
+                    }
+                    pause(500);
+                }
+            } catch (IOException e) {
+                // The test has ended.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private long peakMegabytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmHWM:")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                .findFirst().orElseThrow() >> 10;
+    }
+
+    /** Every one is used, what the list says of half of them holds, and all of it fits into the memory. */
+    @Test
+    void aThousandEndpointsAndTheirConnections() throws Exception {
+        sockets = 4 * MANY;
+        patient();
+        settings().put("n_instances", 120);
+        known = new JsonArray();
+        Fleet fleet = new Fleet(MANY);
+        opened.add(fleet);
+        start();
+        eventually(() -> discovery.seen.size() == 1);
+        List<JsonObject> all = new ArrayList<>();
+        for (int i = 0; i < MANY; i++) {
+            all.add(fleet.entry(i, "active"));
+        }
+        String text = new JsonObject(list(8, true, all.toArray(JsonObject[]::new))).encodePrettily() + "\n";
+        for (int i = 0; i < text.length(); i += 100_000) {
+            discovery.write(0, text.substring(i, Math.min(text.length(), i + 100_000)));
+        }
+        beats();
+        within(10_000, () -> health() == 200);
+        transactions(12 * MANY, "t");
+        assertTrue(fleet.met.size() > MANY * 99 / 100, "met " + fleet.met.size());
+        int pooled = fleet.open;
+        // Beside what is pooled, as many silent clients as there is room for before the first is ended.
+        for (int i = 0; i < MANY; i++) {
+            client();
+        }
+        transactions(MANY, "u");
+        JsonObject[] leaving = new JsonObject[MANY / 2];
+        for (int i = 0; i < leaving.length; i++) {
+            leaving[i] = fleet.entry(i, "leaving");
+        }
+        synchronized (discovery) {
+            discovery.line(list(9, false, leaving));
+        }
+        eventually(() -> counters().getLong("list_lines", 0L) == 2);
+        fleet.met.clear();
+        transactions(4 * MANY, "v");
+        Set<Integer> drained = new HashSet<>(fleet.met);
+        drained.removeIf(i -> i >= leaving.length);
+        assertEquals(Set.of(), drained);
+        long peak = peakMegabytes();
+        System.out.println("sizes: " + MANY + " endpoints, " + pooled + " pooled connections, peak of " + peak + " MB");
+        assertTrue(pooled > MANY / 2, pooled + " pooled");
+        assertTrue(peak < LIMIT_MB, peak + " MB of " + LIMIT_MB);
+        assertEquals(0L, counters().getLong("no_descriptor"));
+    }
+}
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/StartsIT.java
@@ -0,0 +1,53 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Many sidecars that start at once, as after a release or the loss of their machine. */
+class StartsIT extends Loopback {
+    private static final int PROCESSES = 20;
+
+    /** The operators' term: nine in ten are ready within 10 s, and each takes transactions from then on. */
+    @Test
+    void nineInTenThatStartAtOnceAreReadyWithinTenSeconds() throws Exception {
+        endpoint(r -> answer(200, "", "good"));
+        endpoint(r -> answer(200, "", "good"));
+        settings().put("n_instances", PROCESSES);
+        List<Process> processes = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        List<Long> after = new ArrayList<>();
+        try {
+            long begun = System.nanoTime();
+            for (int i = 0; i < PROCESSES; i++) {
+                processes.add(start(configuration().encode(), dir.resolve("config-" + i), dir.resolve("log-" + i)));
+                ports.add(port);
+            }
+            List<Integer> waiting = new ArrayList<>(ports);
+            eventually(() -> {
+                waiting.removeIf(each -> {
+                    boolean ready = health(each) == 200;
+                    if (ready) {
+                        after.add((System.nanoTime() - begun) / 1_000_000);
+                    }
+                    return ready;
+                });
+                return waiting.isEmpty();
+            });
+            for (int i = 0; i < PROCESSES; i++) {
+                try (Client client = new Client(ports.get(i))) {
+                    assertEquals("200", client.ask(transaction("post-charge", "t" + i, 3_000)).substring(9, 12));
+                }
+            }
+        } finally {
+            for (Process each : processes) {
+                each.destroyForcibly().waitFor();
+            }
+        }
+        System.out.println("starts: ready after " + after + " ms");
+        assertTrue(after.get(PROCESSES * 9 / 10 - 1) < 10_000, "ready after " + after + " ms");
+    }
+}
