A transaction sent ahead of an answer is answered in its own time

Seen by reading for transactions answered too late, then forced: a client sends two transactions at once, each to be answered within 3 s; the first takes 1.5 s, and no endpoint answers the second. It was answered after 3.8 s. At fault: Front.take counted the client's wait from the moment in which a transaction is let through, and PipeliningGate holds what was sent ahead until the answer before it: whatever that took was added to its time. The protocol counts from its last byte. Stalls of the loop and the listener's queue were ruled out: the test has neither. Now the gate keeps when each message's last byte came (cameAt), and the time since is off its wait, also off what endpoints are told.

--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -57,6 +57,11 @@
             return carried;
         }
 
+        /** When the last byte of what it brings now came. */
+        long cameAt() {
+            return decoder.cameAt();
+        }
+
         private boolean busy() {
             return reading != null || exchange != null && !exchange.over();
         }
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -279,7 +279,10 @@
             reject(request, client, 503, client.reason);
         } else {
             Profile terms = commission.terms().profiles().get(profile);
-            long wait = Math.min(patience, terms.hardLimit());
+            // Its time counts from its last byte, and it may have waited for the answer to the one before it on its
+            // connection: counted from here, it was answered late by as much as that one took.
+            long waited = clock.now() - client.cameAt();
+            long wait = Math.max(0, Math.min(patience, terms.hardLimit()) - waited);
             // What is read after a stall may have come at its beginning: that much of its wait is over.
             long unread = Math.min(wait, lateness.unread());
             long late = Math.max(0, lateness.now());
--- a/src/main/java/trestlegrade/sidecar/PipeliningGate.java
+++ b/src/main/java/trestlegrade/sidecar/PipeliningGate.java
@@ -36,13 +36,18 @@
     private final StrictDecoder decoder;
     private final Held all;
     private final Runnable tooFar;
+    private final Clock clock;
     private final Deque<Object> held = new ArrayDeque<>();
+    /** When the last byte of each whole message that is held came. */
+    private final Deque<Long> heldSince = new ArrayDeque<>();
+    private long cameAt;
     private long bytes;
     private boolean open;
 
     /** {@code tooFar} is told before the last message is let through that will be on this connection. */
-    PipeliningGate(StrictDecoder decoder, Held all, Runnable tooFar) {
+    PipeliningGate(StrictDecoder decoder, Clock clock, Held all, Runnable tooFar) {
         this.decoder = decoder;
+        this.clock = clock;
         this.all = all;
         this.tooFar = tooFar;
     }
@@ -50,11 +55,15 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object part) {
         if (held.isEmpty() && !(part instanceof HttpRequest && open)) {
+            cameAt = clock.now();
             pass(context, part);
         } else if (decoder.deaf) {
             ReferenceCountUtil.release(part);
         } else {
             held.add(part);
+            if (part instanceof LastHttpContent) {
+                heldSince.add(clock.now());
+            }
             count(size(part));
             if (bytes > MOST || all.bytes > MOST_OF_ALL) {
                 deafen();
@@ -98,11 +107,19 @@
         return !held.isEmpty();
     }
 
+    /** When the last byte of the message that was let through came; it may have waited here since. */
+    long cameAt() {
+        return cameAt;
+    }
+
     /** The first of those held, with all that has come of it. */
     private void next(ChannelHandlerContext context) {
         while (!held.isEmpty() && !(held.peekFirst() instanceof HttpRequest && open)) {
             Object part = held.pollFirst();
             count(-size(part));
+            if (part instanceof LastHttpContent) {
+                cameAt = heldSince.pollFirst();
+            }
             if (decoder.deaf && part instanceof HttpRequest && held.stream().noneMatch(HttpRequest.class::isInstance)) {
                 tooFar.run();
             }
@@ -147,5 +164,6 @@
         count(-bytes);
         held.forEach(ReferenceCountUtil::release);
         held.clear();
+        heldSince.clear();
     }
 }
--- a/src/main/java/trestlegrade/sidecar/StrictDecoder.java
+++ b/src/main/java/trestlegrade/sidecar/StrictDecoder.java
@@ -37,7 +37,7 @@
         ChannelPipeline pipeline = ((HttpServerConnection) connection).channelHandlerContext().pipeline();
         StrictDecoder decoder = new StrictDecoder(options, clock);
         pipeline.replace("httpDecoder", "httpDecoder", decoder);
-        decoder.gate = new PipeliningGate(decoder, held, tooFar);
+        decoder.gate = new PipeliningGate(decoder, clock, held, tooFar);
         decoder.linger = new LingeringClose(decoder, clock, lateness);
         pipeline.addBefore("handler", "gate", decoder.gate);
         pipeline.addBefore("handler", "linger", decoder.linger);
@@ -72,6 +72,11 @@
         return gate.waits();
     }
 
+    /** When the last byte of the message that was let through came. */
+    long cameAt() {
+        return gate.cameAt();
+    }
+
     long begun() {
         return begun;
     }
--- a/src/test/java/trestlegrade/sidecar/ClientsIT.java
+++ b/src/test/java/trestlegrade/sidecar/ClientsIT.java
@@ -21,6 +21,26 @@
 /** Clients that write slowly, and such as send more than is read when their answer ends the connection. */
 class ClientsIT extends Loopback {
 
+    /** The one before it takes half of its time, and no endpoint answers it: its time counts from when it was sent. */
+    @Test
+    void oneSentAheadIsAnsweredInItsOwnTime() throws Exception {
+        endpoint(r -> {
+            if (!"a".equals(header(r, "X-Trace-Id"))) {
+                return HANG;
+            }
+            pause(1_500);
+            return answer(200, "", "good");
+        });
+        serve();
+        Client client = client();
+        long sent = System.nanoTime();
+        client.write(transaction("post-charge", "a", 3_000) + transaction("post-charge", "b", 3_000));
+        assertEquals("200", client.read().substring(9, 12));
+        assertEquals("502", client.read().substring(9, 12));
+        long took = (System.nanoTime() - sent) / 1_000_000;
+        assertTrue(took < 3_000, "after " + took + " ms");
+    }
+
     /** Never silent for as long as a connection may stand, but longer as a whole. */
     @ParameterizedTest
     @CsvSource({"head, false", "body, false", "head, true", "body, true"})
