--- a/src/main/java/trestlegrade/Terms.java
+++ b/src/main/java/trestlegrade/Terms.java
@@ -29,7 +29,7 @@
     /** Which endpoints drop the repeats of a journalled transaction. */
     public enum Group { ALL, ZONE, CELL }
 
-    public record Profile(long serviceGoal, long hardLimit, double revenue,
+    public record Profile(long serviceGoal, long deadline, double revenue,
                           Repeat repeat, Group group, long window) { }
 
     public record Customer(double share) { }
--- a/src/main/java/trestlegrade/sidecar/Commission.java
+++ b/src/main/java/trestlegrade/sidecar/Commission.java
@@ -77,9 +77,9 @@
                 reader.time("ceilings.dial_timeout", 250.0), agreedRate(settings) / terms.sidecars());
     }
 
-    /** The longest hard limit, in milliseconds: what any transaction takes at the most. */
-    long longestLimit() {
-        return terms.profiles().stream().mapToLong(Terms.Profile::hardLimit).max().orElse(0) / 10;
+    /** The longest deadline, in milliseconds: what any transaction takes at the most. */
+    long longestDeadline() {
+        return terms.profiles().stream().mapToLong(Terms.Profile::deadline).max().orElse(0) / 10;
     }
 
     /** The longest service goal, in milliseconds. */
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -129,7 +129,7 @@
     /** New settings, for what is taken from now on. */
     void adopt(Commission told) {
         commission = told;
-        clients.sendsWithin(10 * told.longestLimit());
+        clients.sendsWithin(10 * told.longestDeadline());
         profiles = numbered(told.profiles());
         customers = numbered(told.customers());
     }
@@ -142,7 +142,7 @@
     }
 
     /**
-     * SIGTERM has come, and the program is killed once the longest hard limit and a little more have passed: all is
+     * SIGTERM has come, and the program is killed once the longest deadline and a little more have passed: all is
      * served until then as before, for nobody else serves these clients. Late enough that the last transactions have
      * half of their goal, or once no client is left, it closes: the listener ends when its queue is empty, idle
      * connections are closed, each other one with its next answer, and {@code ended} is told when none is open. What
@@ -151,13 +151,13 @@
     void leave(Runnable ended) {
         leaving = true;
         clients.keep();
-        long limit = Math.min(LONGEST, commission.longestLimit());
-        long answered = Math.max(limit, LINGER) + LAST_WORDS;
+        long deadline = Math.min(LONGEST, commission.longestDeadline());
+        long answered = Math.max(deadline, LINGER) + LAST_WORDS;
         lastAnswer = clock.now() + answered * 10;
         desk.endBy(lastAnswer);
         vertx.setTimer(LINGER, t -> lingered = true);
         vertx.setTimer(Math.max(LINGER, answered + LAST_WORDS - commission.longestGoal() / 2), t -> close());
-        vertx.setTimer(limit + KILLED - HALT, t -> ended.run());
+        vertx.setTimer(deadline + KILLED - HALT, t -> ended.run());
         vertx.setPeriodic(10, t -> {
             if (shut && clients.isEmpty()) {
                 ended.run();
@@ -180,15 +180,15 @@
         }
     }
 
-    // However long clients wait, the operators allow three seconds for it: with hard limits of 10 s what was open was
+    // However long clients wait, the operators allow three seconds for it: with deadlines of 10 s what was open was
     // killed unanswered.
     private static final long LONGEST = 3_000;
-    // The operators kill no sooner than that after the longest hard limit.
+    // The operators kill no sooner than that after the longest deadline.
     private static final long KILLED = 700;
     // What the last lines of the log need.
     private static final long HALT = 50;
-    // Milliseconds for the last answers to be given and written, on a loop that runs late. With hard limits under
-    // LINGER the last are given after that limit, but before the program is killed.
+    // Milliseconds for the last answers to be given and written, on a loop that runs late. With deadlines under
+    // LINGER the last are given after that deadline, but before the program is killed.
     private static final long LAST_WORDS = 100;
     // Tenths of a millisecond. Those in the listener's queue while all descriptors were held are let in once the last
     // answers have freed some; as much again is left over until the program is killed.
@@ -282,7 +282,7 @@
             // Its time counts from its last byte, and it may have waited for the answer to the one before it on its
             // connection: counted from here, it was answered late by as much as that one took.
             long waited = clock.now() - client.cameAt();
-            long wait = Math.max(0, Math.min(patience, terms.hardLimit()) - waited);
+            long wait = Math.max(0, Math.min(patience, terms.deadline()) - waited);
             // What is read after a stall may have come at its beginning: that much of its wait is over.
             long unread = Math.min(wait, lateness.unread());
             long late = Math.max(0, lateness.now());
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -79,7 +79,7 @@
         int profile = asked % commission.profiles().size();
         long now = clock.now();
         desk.arrived(new Exchange(asked++ % 2 == 0 ? "GET" : "POST", TARGET, HttpHeaders.headers(), body,
-                profile, false, 0, asked, now + commission.terms().profiles().get(profile).hardLimit(), 0, this));
+                profile, false, 0, asked, now + commission.terms().profiles().get(profile).deadline(), 0, this));
     }
 
     private void next() {
--- a/src/test/java/trestlegrade/Desk.java
+++ b/src/test/java/trestlegrade/Desk.java
@@ -25,7 +25,7 @@
     long nextTx = 1;
     final Balance balance;
 
-    /** Profiles 0 idempotent, 1 journalled, 2 non-idempotent; goal 0.5 s, hard limit 1 s; and further settings. */
+    /** Profiles 0 idempotent, 1 journalled, 2 non-idempotent; goal 0.5 s, deadline 1 s; and further settings. */
     Desk(Group group, int maxAttempts, String... further) {
         this(7, group, maxAttempts, further);
     }
