A client that reads late keeps what it sent ahead; one that never reads is ended

At fault: Clients.look, closeOneIdle and leave took a connection for idle once its answer was given, not once it was written. Ruled out: answers that pile up for clients that read nothing (thoseThatReadNothing holds without the change: the library writes no further answer before the last has gone). Now an answer that is being written keeps its connection up to the longest deadline; then the connection ends at once (`client code=unread`). ClientsIT.oneThatReadsItsAnswersLate (also while the program ends) and oneThatNeverReadsItsAnswersIsEnded fail without it.

--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -26,6 +26,8 @@
         /** The answer that is owed to what is being read; null while nothing is. */
         private HttpServerResponse reading;
         private Exchange exchange;
+        /** Its last answer; done once the kernel has all of it. */
+        private Future<Void> written = Future.succeededFuture();
         private boolean ending;
         String reason;
 
@@ -73,7 +75,7 @@
 
         /** Vert.x leaves a connection open after an answer that says it ends, so it is closed here. */
         void answer(HttpServerResponse response, int status, Buffer body, long now) {
-            Future<Void> written = send(response, status, body, now);
+            send(response, status, body, now);
             if (ending) {
                 decoder.deaf = true;
                 written.onComplete(done -> http.close());
@@ -85,7 +87,7 @@
             return Math.max(used, decoder.heard());
         }
 
-        Future<Void> send(HttpServerResponse response, int status, Buffer body, long now) {
+        void send(HttpServerResponse response, int status, Buffer body, long now) {
             // What the client has sent ahead was taken with its last byte, and has its answer before the end.
             boolean more = decoder.waits();
             if (reason == null && !more && open.size() > descriptors.most() / CROWD) {
@@ -99,7 +101,7 @@
             reading = null;
             exchange = null;
             used = now;
-            return response.setStatusCode(status).end(body);
+            written = response.setStatusCode(status).end(body);
         }
 
         void close(String why) {
@@ -139,8 +141,8 @@
     private long sendsWithin = STANDS;
 
     /** However steadily it sends, a message that takes longer than any transaction may wait is none. */
-    void sendsWithin(long longestLimit) {
-        sendsWithin = Math.max(STANDS, longestLimit);
+    void sendsWithin(long longestDeadline) {
+        sendsWithin = Math.max(STANDS, longestDeadline);
     }
 
     Connection of(HttpConnection connection) {
@@ -178,6 +180,15 @@
     private void look() {
         long now = clock.now();
         for (Connection client : new ArrayList<>(open.values())) {
+            if (!client.written.isComplete()) {
+                // Its client has not read so far, and may yet. To end it now would drop what it has sent ahead; the
+                // library waits with that until all is read, and one that never reads kept its descriptor for good.
+                if (now - client.used > sendsWithin) {
+                    client.reason = "unread";
+                    client.decoder.linger.closeNow();
+                }
+                continue;
+            }
             // One that is to end with its answer, since there is no room for it, must bring what can be answered as well:
             // else those that say nothing hold the last descriptors for good.
             boolean partial = client.decoder.partial();
@@ -214,7 +225,7 @@
         long before = clock.now() - UNREAD - 2 * lateness.now();
         Connection most = null;
         for (Connection client : open.values()) {
-            if (client.busy() || client.active() > before || client.reason != null) {
+            if (client.busy() || client.active() > before || client.reason != null || !client.written.isComplete()) {
                 continue;
             }
             if (client.carried == 0) {
@@ -251,6 +262,14 @@
             again |= young;
             if (client.busy() || young || client.decoder.partial() && client.active() > before) {
                 client.reason = "leaving";
+            } else if (!client.written.isComplete()) {
+                // It reads slowly. What it has sent ahead is answered behind that, and ends with the last answer.
+                client.reason = "leaving";
+                client.written.onComplete(done -> {
+                    if (!client.busy() && !client.decoder.waits()) {
+                        client.close("leaving");
+                    }
+                });
             } else if (!client.ending) {
                 client.close("leaving");
             }
--- a/src/main/java/trestlegrade/sidecar/LingeringClose.java
+++ b/src/main/java/trestlegrade/sidecar/LingeringClose.java
@@ -30,7 +30,7 @@
     private boolean answering;
     private long answered = Long.MIN_VALUE / 2;
     private boolean lingers;
-    private ChannelHandlerContext lingering;
+    private ChannelHandlerContext context;
 
     LingeringClose(StrictDecoder decoder, Clock clock, Lateness lateness) {
         this.decoder = decoder;
@@ -43,9 +43,14 @@
         return lingers;
     }
 
-    /** Its descriptor is wanted for another client: what was still to come is given up. */
+    /** Its descriptor is wanted for another client, or it does not read: what is still to come or to go is given up. */
     void closeNow() {
-        lingering.close();
+        context.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        this.context = context;
     }
 
     @Override
@@ -74,7 +79,6 @@
             return;
         }
         lingers = true;
-        lingering = context;
         decoder.deaf = true;
         // The library may have stopped reading.
         context.channel().config().setAutoRead(true);
--- a/src/test/java/trestlegrade/sidecar/ClientsIT.java
+++ b/src/test/java/trestlegrade/sidecar/ClientsIT.java
@@ -11,6 +11,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
@@ -21,6 +23,33 @@
 /** Clients that write slowly, and such as send more than is read when their answer ends the connection. */
 class ClientsIT extends Loopback {
 
+    /**
+     * Its connection has stood idle for nearly as long as it may; the process stands still, and when it goes on the end of
+     * that time and the next transaction wait for the same turn.
+     */
+    @Test
+    void whatComesInTheTurnInWhichItsConnectionWouldBeEnded() throws Exception {
+        endpoint(r -> answer(200, "", header(r, "X-Trace-Id")));
+        patient();
+        serve();
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            clients.add(client());
+            assertTrue(clients.get(i).ask(transaction("quote", "t" + i, 30_000)).endsWith("t" + i));
+        }
+        signal("STOP");
+        eventually(this::stopped);
+        pause(2_500);
+        for (int i = 0; i < 20; i++) {
+            clients.get(i).write(transaction("post-charge", "u" + i, 30_000));
+        }
+        signal("CONT");
+        for (int i = 0; i < 20; i++) {
+            String got = clients.get(i).read();
+            assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("u" + i), got);
+        }
+    }
+
     /** The one before it takes half of its time, and no endpoint answers it: its time counts from when it was sent. */
     @Test
     void oneSentAheadIsAnsweredInItsOwnTime() throws Exception {
@@ -41,6 +70,80 @@
         assertTrue(took < 3_000, "after " + took + " ms");
     }
 
+    /**
+     * It sends on, and reads nothing for longer than a connection may stand idle: more than the kernel holds for it
+     * waits here. Then it reads, also while the program ends: each has its answer, and that is whole.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void oneThatReadsItsAnswersLate(boolean ends) throws Exception {
+        String body = "x".repeat(Front.LONGEST_BODY);
+        endpoint(r -> answer(200, "", body));
+        patient();
+        serve();
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(4_096);
+            socket.setSoTimeout(10_000);
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            for (int i = 0; i < 150; i++) {
+                socket.getOutputStream().write(transaction("quote", "t" + i, 39_000)
+                        .getBytes(StandardCharsets.ISO_8859_1));
+            }
+            pause(3_000);
+            if (ends) {
+                signal("TERM");
+                eventually(() -> log().contains("serve code=leaving"));
+                pause(1_000);
+            }
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            int committed = 0;
+            for (int i = 0; i < 150; i++) {
+                String got = message(in);
+                boolean whole = got.startsWith("HTTP/1.1 200 ") && got.endsWith("\r\n\r\n" + body);
+                assertTrue(whole || ends && got.startsWith("HTTP/1.1 503 "),
+                        i + ": " + got.length() + " bytes, " + got.substring(0, Math.min(100, got.length())));
+                committed += whole ? 1 : 0;
+            }
+            assertTrue(committed > 0, "none committed");
+        }
+    }
+
+    /** It has longer than any transaction may wait, and no more than that. */
+    @Test
+    void oneThatNeverReadsItsAnswersIsEnded() throws Exception {
+        String body = "x".repeat(Front.LONGEST_BODY);
+        endpoint(r -> answer(200, "", body));
+        serve();
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(4_096);
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            for (int i = 0; i < 150; i++) {
+                socket.getOutputStream().write(transaction("quote", "t" + i, 39_000)
+                        .getBytes(StandardCharsets.ISO_8859_1));
+            }
+            eventually(() -> counters().getJsonObject("connections_ended").getLong("client:unread", 0L) == 1);
+        }
+    }
+
+    /** They send on and read nothing: what is held for them has a bound, and others are served. */
+    @Test
+    void thoseThatReadNothing() throws Exception {
+        String body = "x".repeat(Front.LONGEST_BODY);
+        endpoint(r -> answer(200, "", header(r, "X-Trace-Id").startsWith("t") ? body : "good"));
+        patient();
+        serve();
+        for (int i = 0; i < 30; i++) {
+            Client client = client();
+            for (int j = 0; j < 150; j++) {
+                client.write(transaction("quote", "t" + i + "-" + j, 39_000));
+            }
+        }
+        for (int i = 0; i < 200; i++) {
+            assertTrue(client().ask(transaction("quote", "u" + i, 30_000)).startsWith("HTTP/1.1 200 "));
+        }
+        assertTrue(process.isAlive());
+    }
+
     /** Never silent for as long as a connection may stand, but longer as a whole. */
     @ParameterizedTest
     @CsvSource({"head, false", "body, false", "head, true", "body, true"})
