--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -397,7 +397,11 @@
 
         /** Bytes as they are, on the connection that came last. */
         void send(String text) throws IOException {
-            sockets.get(sockets.size() - 1).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            send(sockets.size() - 1, text);
+        }
+
+        void send(int connection, String text) throws IOException {
+            sockets.get(connection).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
         /** Ends a connection, at once with all that is on its way or with a reset behind it. */
--- a/src/test/java/trestlegrade/sidecar/PooledConnectionsIT.java
+++ b/src/test/java/trestlegrade/sidecar/PooledConnectionsIT.java
@@ -37,10 +37,10 @@
                 () -> counters().encode());
     }
 
-    /** The process stands still; the end of an idle connection, and a transaction, wait for the same turn. */
+    /** The process stands still; what happens to an idle connection, and a transaction, wait for the same turn. */
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void anIdleConnectionEndsInTheTurnInWhichItWouldBeTaken(boolean reset) throws Exception {
+    @ValueSource(strings = {"end", "reset", "half a line"})
+    void anIdleConnectionEndsInTheTurnInWhichItWouldBeTaken(String happens) throws Exception {
         Stub endpoint = endpoint(r -> answer(200, "", header(r, "X-Trace-Id")));
         serve();
         List<Client> clients = new ArrayList<>();
@@ -54,7 +54,11 @@
         signal("STOP");
         eventually(this::stopped);
         for (int i = 0; i < pooled; i++) {
-            endpoint.end(i, reset);
+            if (happens.equals("half a line")) {
+                endpoint.send(i, "HTTP/1.1 20");
+            } else {
+                endpoint.end(i, happens.equals("reset"));
+            }
         }
         for (Client each : clients) {
             each.write(transaction("post-charge", "u" + clients.indexOf(each), 2_900));
