--- a/src/test/java/trestlegrade/sidecar/SizesIT.java
+++ b/src/test/java/trestlegrade/sidecar/SizesIT.java
@@ -26,8 +26,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
 
 /** As many endpoints and zones as the operators may list, with as many connections as the settings allow. */
+@Isolated("takes all cores for some seconds, and others time what they see")
 class SizesIT extends Loopback {
     private static final int MANY = 1_024;
     private static final int LIMIT_MB = 192;
