What an endpoint's system holds back behind an answer is read before the next attempt

Cause: an endpoint without TCP_NODELAY. Its system holds a small write back until the one before is acknowledged; on a connection on which both sides have spoken in turn ours waits with that for 40 ms or until we write. So the second answer came with the next attempt's bytes. At fault: Attempts.release, which took what had come by the timer for all that was written.

--- a/src/main/java/trestlegrade/sidecar/Attempts.java
+++ b/src/main/java/trestlegrade/sidecar/Attempts.java
@@ -218,11 +218,15 @@
         free.addLast(connection);
         // Endpoints close connections behind an answer, or send more than one: an attempt written before that has been
         // read is lost, or gets another's answer. What has come by the first timer is read before the second.
+        acknowledges = acknowledges && connection.acknowledge();
         connection.rested = connection.carried == 0;
         int answer = ++connection.rests;
         vertx.setTimer(settled, t -> vertx.setTimer(1, u -> connection.rested |= connection.rests == answer));
     }
 
+    /** Until the system refuses it once: to be refused behind each answer would cost as much as to be heard. */
+    private boolean acknowledges = true;
+
     /** Closes the connections that have stood idle since before the time given. */
     private void dropIdle(Endpoint endpoint, String why, long before) {
         Deque<PooledConnection> free = idle.get(endpoint.id);
--- a/src/main/java/trestlegrade/sidecar/PooledConnection.java
+++ b/src/main/java/trestlegrade/sidecar/PooledConnection.java
@@ -1,5 +1,9 @@
 package trestlegrade.sidecar;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -10,6 +14,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.buffer.BufferInternal;
 import io.vertx.core.internal.net.NetSocketInternal;
+import jdk.net.ExtendedSocketOptions;
 import trestlegrade.sidecar.Roster.Endpoint;
 
 /** One connection to an endpoint, which carries one attempt at a time and reads its answer. */
@@ -59,6 +64,23 @@
         return socket.writeMessage(Heads.attempt(next.exchange, next.exchange.end - now));
     }
 
+    /**
+     * Has the system acknowledge at once what was read; false if it can't. Where both sides speak in turn it waits with
+     * that for 40 ms or more, and an endpoint without TCP_NODELAY has what it writes behind an answer held back until then:
+     * a second answer came with the next attempt's bytes, and was taken for the answer to that.
+     */
+    boolean acknowledge() {
+        Channel channel = socket.channelHandlerContext().channel();
+        try {
+            return channel.config().setOption(AT_ONCE, true);
+        } catch (ChannelException e) {
+            return !channel.isOpen();
+        }
+    }
+
+    // Holds for what has come by then, so it is set anew behind each answer.
+    private static final ChannelOption<Boolean> AT_ONCE = NioChannelOption.of(ExtendedSocketOptions.TCP_QUICKACK);
+
     private void read(Object part) {
         try {
             if (!awaits() || ((HttpObject) part).decoderResult().isFailure()) {
