The listener lets in who waits though descriptors come free beside its last look

Seen: EndsIT.whoWaitsInTheListenersQueue failed in one run of all tests beside eight busy loops (06:41, "Connection reset"; the other 356 green), and twice before with four classes at a time. First guess: the machine was late by more than the 0.4 s that the program leaves them. Ruled out by measurement: with deadlines of 3 s, which leave 1.65 s, two of ten plays beside sixteen busy loops failed all the same, and the log of one has the cause: 18 idle connections ended at 27.349, and in that moment the listener with all ten in its queue, 1.6 s before its last moment.

Lines at fault: Door.Listener.drain. It ends the listener when nobody was let in between two looks and a descriptor is free at the second. Both this and the end of the idle connections (Clients.leave) are two timers behind the same call; when they come due in one turn the descriptors are free and nobody has been let in yet. What those clients had sent was reset: taken, and no answer.

Change: a descriptor has to be free at both looks. It is not forced on a quiet machine: stopping the process over and over around that moment failed in none of six plays without the mend.

--- a/src/main/java/trestlegrade/sidecar/Door.java
+++ b/src/main/java/trestlegrade/sidecar/Door.java
@@ -78,9 +78,12 @@
 
         private void drain(Clock clock, long lastMoment, Runnable then) {
             int before = letIn;
+            // Freed by what runs beside this look (the end of those that stand idle), for nobody who waits yet: the
+            // listener ended with all of them still in its queue.
+            boolean full = descriptors.full();
             // The loop looks at its sockets between two timers that follow each other.
             eventLoop().schedule(() -> eventLoop().schedule(() -> {
-                if (before == letIn && !descriptors.full() || clock.now() >= lastMoment) {
+                if (before == letIn && !full && !descriptors.full() || clock.now() >= lastMoment) {
                     close().addListener(closed -> then.run());
                 } else {
                     drain(clock, lastMoment, then);
