--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -350,7 +350,6 @@
         assertTrue(client().ask(transaction("post-charge", "t", 2_000)).startsWith("HTTP/1.1 200 "));
     }
 
-    /** Hundreds that connect and say nothing cost the usual clients neither their connections nor a turn. */
     /** All others are busy, so there is no room for those that come last; those that say nothing do not keep it. */
     @Test
     void silentConnectionsDoNotHoldTheLastDescriptors() throws Exception {
@@ -372,6 +371,7 @@
         assertTrue(got.startsWith("HTTP/1.1 "), got);
     }
 
+    /** Those that connect and say nothing cost the usual clients neither their connections nor a turn. */
     @Test
     void silentConnectionsMakeRoomForOnesThatSend() throws Exception {
         endpoint(r -> answer(200, "", "good"));
