--- a/src/main/java/trestlegrade/sidecar/Door.java
+++ b/src/main/java/trestlegrade/sidecar/BoundedTransport.java
@@ -16,13 +16,13 @@
  * connection while there is no descriptor for one: the client waits in the listener's queue instead. To accept and
  * close it would lose what it has sent.
  */
-final class Door implements io.vertx.core.spi.transport.Transport {
+final class BoundedTransport implements io.vertx.core.spi.transport.Transport {
     private final io.vertx.core.spi.transport.Transport usual = Transport.NIO.implementation();
     private final Descriptors descriptors;
     private final Counters.Turns turns;
     private volatile Listener listener;
 
-    Door(Descriptors descriptors, Counters.Turns turns) {
+    BoundedTransport(Descriptors descriptors, Counters.Turns turns) {
         this.descriptors = descriptors;
         this.turns = turns;
     }
@@ -32,7 +32,7 @@
         return new Transport() {
             @Override
             public String name() {
-                return "door";
+                return "bounded";
             }
 
             @Override
@@ -47,7 +47,7 @@
 
             @Override
             public io.vertx.core.spi.transport.Transport implementation() {
-                return Door.this;
+                return BoundedTransport.this;
             }
         };
     }
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -37,7 +37,7 @@
     private final Roster roster;
     private Commission commission;
     private final Descriptors descriptors;
-    private final Door door;
+    private final BoundedTransport transport;
     private final Lateness lateness;
     private Map<String, Integer> profiles;
     private Map<String, Integer> customers;
@@ -98,7 +98,7 @@
     private static final Buffer NOTHING = Buffer.buffer();
 
     Front(Vertx vertx, Context context, Clock clock, Counters counters, Desk desk, Roster roster, Commission commission,
-          Descriptors descriptors, Door door, Lateness lateness) {
+          Descriptors descriptors, BoundedTransport transport, Lateness lateness) {
         this.vertx = vertx;
         this.context = context;
         this.clock = clock;
@@ -106,7 +106,7 @@
         this.desk = desk;
         this.roster = roster;
         this.descriptors = descriptors;
-        this.door = door;
+        this.transport = transport;
         this.lateness = lateness;
         clients = new Clients(vertx, clock, counters, descriptors, lateness, this::left);
         adopt(commission);
@@ -173,7 +173,7 @@
             // What those that stay have sent so far is read before they are taken for idle, and so is what the last
             // newcomers bring.
             lateness.afterReading(clients::leave);
-            door.shut(clock, lastAnswer + LATECOMERS, () -> context.runOnContext(v -> lateness.afterReading(() -> {
+            transport.shut(clock, lastAnswer + LATECOMERS, () -> context.runOnContext(v -> lateness.afterReading(() -> {
                 clients.leave();
                 shut = true;
             })));
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -21,7 +21,7 @@
     private final LogLines log = new LogLines();
     private final Counters counters = new Counters(log);
     private final Descriptors clients;
-    private final Door door;
+    private final BoundedTransport transport;
     private final CountDownLatch ended = new CountDownLatch(1);
     private final CountDownLatch failed = new CountDownLatch(1);
     /** With the settings as they are now. */
@@ -36,7 +36,7 @@
         inForce = commission;
         this.environment = environment;
         clients = Descriptors.forClients(commission.sockets());
-        door = new Door(clients, counters.turns);
+        transport = new BoundedTransport(clients, counters.turns);
     }
 
     /** Serves until told to end; false if it could not begin. */
@@ -80,7 +80,7 @@
 
     private Vertx vertx() {
         // The loop is watched by its own counters; the library's watcher need not look.
-        return Vertx.builder().withTransport(door.transport())
+        return Vertx.builder().withTransport(transport.transport())
                 .with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                         .setInternalBlockingPoolSize(1).setBlockedThreadCheckInterval(Integer.MAX_VALUE)
                         .setFileSystemOptions(new FileSystemOptions().setFileCachingEnabled(false)
@@ -135,7 +135,7 @@
         discovery = new Discovery(vertx, clock, counters, lateness, commission.discovery(),
                 commission.version(), desk);
         discovery.adopt(commission.terms());
-        front = new Front(vertx, context, clock, counters, desk, roster, commission, clients, door, lateness);
+        front = new Front(vertx, context, clock, counters, desk, roster, commission, clients, transport, lateness);
         desk.start(roster, attempts, discovery::watch, commission.known());
         return discovery.relied().compose(v -> front.listen())
                 .onFailure(e -> log.add(() -> Logger.error("serve code=listen-failed listen={} cause={}",
--- a/src/test/java/trestlegrade/sidecar/DoorTest.java
+++ b/src/test/java/trestlegrade/sidecar/BoundedTransportTest.java
@@ -19,7 +19,7 @@
 
 /** The listener on a loop of the test's own, so that what meets there comes in the order that the test gives. */
 @Timeout(20)
-class DoorTest {
+class BoundedTransportTest {
 
     private static void stall() {
         Loopback.pause(5);
@@ -35,12 +35,12 @@
         for (int i = 0; i < descriptors.most(); i++) {
             descriptors.take();
         }
-        Door door = new Door(descriptors, new Counters.Turns());
-        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, door.ioHandlerFactory());
+        BoundedTransport transport = new BoundedTransport(descriptors, new Counters.Turns());
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, transport.ioHandlerFactory());
         CountDownLatch ended = new CountDownLatch(1);
         try (Socket client = new Socket()) {
             int port = ((InetSocketAddress) new ServerBootstrap().group(loops)
-                    .channelFactory(door.serverChannelFactory(false))
+                    .channelFactory(transport.serverChannelFactory(false))
                     .childHandler(new ChannelInboundHandlerAdapter() {
                         @Override
                         public void channelActive(ChannelHandlerContext context) {
@@ -55,11 +55,11 @@
                 // Due in one turn with the listener's two looks, and just before each.
                 loop.schedule(() -> {
                     loop.schedule(descriptors::giveBack, 1, TimeUnit.MILLISECONDS);
-                    loop.execute(DoorTest::stall);
+                    loop.execute(BoundedTransportTest::stall);
                 }, 1, TimeUnit.MILLISECONDS);
                 Clock clock = new Clock();
-                door.shut(clock, clock.now() + 50_000, ended::countDown);
-                loop.execute(DoorTest::stall);
+                transport.shut(clock, clock.now() + 50_000, ended::countDown);
+                loop.execute(BoundedTransportTest::stall);
             });
             assertEquals(7, client.getInputStream().read());
             // Its descriptor is still held, so whoever might wait is waited for; with its end the listener ends.
