Log and count why transactions are given up, what lists change, and what is held

Cause: the incident's logs told neither why a request was refused, nor how old the list was, nor what filled the heap. Decisions are as they were.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -223,6 +223,11 @@
         }
     }
 
+    /** Transactions that are not forgotten yet: those that are open, or have attempts out. */
+    public int held() {
+        return txById.size();
+    }
+
     /** What is known of a server, or null. */
     Server server(long id) {
         int index = serverIndex.getOrDefault(id, -1);
@@ -292,11 +297,11 @@
     }
 
     /** The final answer when nothing more is tried: at once, so that the client can turn elsewhere. */
-    private void giveUp(Tx tx, long pause) {
+    private void giveUp(Tx tx, long pause, Refusal why) {
         if (mayRollBack(tx)) {
-            outlet.rollBack(tx.id, terms.pauses() ? Math.min(pause, terms.longestPause()) : 0);
+            outlet.rollBack(tx.id, terms.pauses() ? Math.min(pause, terms.longestPause()) : 0, why);
         } else {
-            outlet.abandon(tx.id);
+            outlet.abandon(tx.id, why);
         }
         finish(tx);
     }
@@ -323,13 +328,25 @@
             if (tx.done) {
                 return false;
             }
-            // A further attempt only if the time left exceeds the time it is expected to take.
-            boolean worth = tx.attempts.isEmpty() ? now < tx.end
-                    : tx.end - now > expected(tx) && (attemptTokens >= 1 || !tx.costly());
-            if (!worth) {
-                giveUp(tx, 0);
+            Refusal refusal = refusal(now, tx);
+            if (refusal != null) {
+                giveUp(tx, 0, refusal);
+            }
+            return refusal == null;
+        }
+
+        /** A further attempt only if the time left exceeds the time it is expected to take; null if it is worth one. */
+        private Refusal refusal(long now, Tx tx) {
+            if (now >= tx.end) {
+                return Refusal.DEADLINE;
+            }
+            if (tx.attempts.isEmpty()) {
+                return null;
+            }
+            if (tx.end - now <= expected(tx)) {
+                return Refusal.LITTLE_TIME;
             }
-            return worth;
+            return attemptTokens >= 1 || !tx.costly() ? null : Refusal.RETRY_BUDGET;
         }
 
         @Override
@@ -351,7 +368,7 @@
         for (int i = 0; i < open.size(); i++) {
             Tx tx = open.get(i);
             if (!tx.done && !tx.streaming && now >= tx.end) {
-                giveUp(tx, 0);
+                giveUp(tx, 0, Refusal.DEADLINE);
             }
             if (!tx.done) {
                 open.set(kept++, tx);
@@ -384,7 +401,7 @@
             }
             double dropped = callDrop[tx.profile] * (overShare(now, tx) ? 1 + callDrop[tx.profile] : 1);
             if (chance.next() < Math.min(MOST_DROPPED, dropped)) {
-                giveUp(tx, terms.longestPause());
+                giveUp(tx, terms.longestPause(), Refusal.OVERLOAD);
                 return false;
             }
             return true;
@@ -496,7 +513,7 @@
             if (server == null) {
                 blocked |= first;
                 if (!tx.attempts.isEmpty() || now - tx.arrived >= waitAtMost(tx)) {
-                    giveUp(tx, 0);
+                    giveUp(tx, 0, Refusal.NO_SERVER);
                     return false;
                 }
                 waiting.add(tx);
--- a/src/main/java/trestlegrade/Outlet.java
+++ b/src/main/java/trestlegrade/Outlet.java
@@ -12,10 +12,10 @@
     void callOff(long tx, int attempt);
 
     /** Final answer: it has had no effect and may be tried again, after the pause if that is not 0. */
-    void rollBack(long tx, long pause);
+    void rollBack(long tx, long pause, Refusal why);
 
     /** Final answer: nothing is promised of its effect. */
-    void abandon(long tx);
+    void abandon(long tx, Refusal why);
 
     /** Asks for one call of {@link Balance#woken} after the span. */
     void wake(long span);
--- a/src/main/java/trestlegrade/benchlink/Reply.java
+++ b/src/main/java/trestlegrade/benchlink/Reply.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import trestlegrade.Outlet;
+import trestlegrade.Refusal;
 
 /** The reply to one batch, written as the instances decide. */
 final class Reply implements Outlet {
@@ -44,12 +45,12 @@
     }
 
     @Override
-    public void rollBack(long tx, long pause) {
+    public void rollBack(long tx, long pause, Refusal why) {
         record(1010, 12).putInt((int) tx).putDouble(pause / 10.0);
     }
 
     @Override
-    public void abandon(long tx) {
+    public void abandon(long tx, Refusal why) {
         record(1020, 4).putInt((int) tx);
     }
 
--- a/src/main/java/trestlegrade/sidecar/Attempts.java
+++ b/src/main/java/trestlegrade/sidecar/Attempts.java
@@ -63,6 +63,11 @@
     // Much finer than the fifth above at any idle time of seconds.
     private static final long SWEEP = 500;
 
+    /** Connections to endpoints that are open or coming up. */
+    int connections() {
+        return descriptors.held();
+    }
+
     /** Starts an attempt; the timeout is in tenths of a millisecond. */
     void send(Attempt attempt, long timeout) {
         if (timeout <= 0 || !attempt.endpoint.active) {
--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -279,6 +279,10 @@
         }
     }
 
+    int count() {
+        return open.size();
+    }
+
     boolean isEmpty() {
         return open.isEmpty();
     }
--- a/src/main/java/trestlegrade/sidecar/Counters.java
+++ b/src/main/java/trestlegrade/sidecar/Counters.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
 import org.HdrHistogram.Histogram;
 import org.tinylog.Logger;
 import trestlegrade.Outcome;
@@ -31,6 +32,7 @@
 
     final LogLines log;
     final Turns turns = new Turns();
+    final Refusals refusals;
     long taken;
     long committed;
     long rolledBack;
@@ -49,9 +51,11 @@
     private final Map<Outcome, Long> attempts = new EnumMap<>(Outcome.class);
     private final Map<Integer, Long> rejected = new TreeMap<>();
     private final Map<String, Long> connectionsEnded = new TreeMap<>();
+    private final Map<String, LongSupplier> gauges = new TreeMap<>();
 
     Counters(LogLines log) {
         this.log = log;
+        refusals = new Refusals(log);
     }
 
     void attempt(Outcome outcome) {
@@ -75,20 +79,32 @@
                 .put("p99", tenths.getValueAtPercentile(99) / 10.0).put("max", tenths.getMaxValue() / 10.0);
     }
 
+    /** A figure that is read whenever somebody asks for the counters. */
+    void gauge(String name, LongSupplier figure) {
+        gauges.put(name, figure);
+    }
+
+    /** What is open and held at this moment. */
+    JsonObject gauges() {
+        JsonObject now = new JsonObject();
+        gauges.forEach((name, figure) -> now.put(name, figure.getAsLong()));
+        return now;
+    }
+
     JsonObject report() {
         JsonObject ends = new JsonObject();
         attempts.forEach((outcome, n) -> ends.put(outcome.name().toLowerCase(Locale.ROOT), n));
-        JsonObject refusals = new JsonObject();
-        rejected.forEach((status, n) -> refusals.put(status.toString(), n));
+        JsonObject rejections = new JsonObject();
+        rejected.forEach((status, n) -> rejections.put(status.toString(), n));
         JsonObject codes = new JsonObject();
         connectionsEnded.forEach(codes::put);
         return new JsonObject().put("taken", taken).put("committed", committed).put("rolled_back", rolledBack)
-                .put("abandoned", abandoned).put("clients_left", clientsLeft).put("rejected", refusals)
+                .put("abandoned", abandoned).put("clients_left", clientsLeft).put("rejected", rejections)
                 .put("attempts_sent", sent).put("attempts_ended", ends).put("connects", connects)
                 .put("no_descriptor", noDescriptor).put("connections_ended", codes)
                 .put("list_lines", listLines).put("watches", watches).put("list_lines_bad", badLines).put("list_entries_bad", badEntries)
                 .put("loop_turns", turns.all()).put("loop_turns_idle", turns.idle.sum())
-                .put("log_lines_dropped", log.dropped())
+                .put("refused", refusals.report()).put("now", gauges()).put("log_lines_dropped", log.dropped())
                 .put("attempt_ms", milliseconds(attemptTook)).put("loop_late_ms", milliseconds(loopLate));
     }
 }
--- a/src/main/java/trestlegrade/sidecar/Descriptors.java
+++ b/src/main/java/trestlegrade/sidecar/Descriptors.java
@@ -54,6 +54,10 @@
     private volatile long awaitedAt = System.nanoTime() - QUEUE_EMPTIES;
     private static final long QUEUE_EMPTIES = 1_000_000_000;
 
+    int held() {
+        return held.get();
+    }
+
     int most() {
         return most;
     }
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -14,6 +14,7 @@
 import trestlegrade.Listed;
 import trestlegrade.Outcome;
 import trestlegrade.Outlet;
+import trestlegrade.Refusal;
 import trestlegrade.Terms;
 
 /**
@@ -159,6 +160,16 @@
         return open.size();
     }
 
+    /** Transactions that the decisions still hold, under all settings in use. */
+    int decidedOn() {
+        return tenure.balance.held() + earlier.stream().mapToInt(each -> each.balance.held()).sum();
+    }
+
+    /** The settings in force, and those under which transactions are still open. */
+    int settingsInUse() {
+        return 1 + earlier.size();
+    }
+
     private void forget(Exchange exchange) {
         if (exchange.over() && exchange.out == 0 && open.remove(exchange.id) != null
                 && --exchange.tenure.taken == 0) {
@@ -221,13 +232,17 @@
         }
 
         @Override
-        public void rollBack(long tx, long pause) {
-            open.get(tx).rollBack(pause, counters);
+        public void rollBack(long tx, long pause, Refusal why) {
+            Exchange exchange = open.get(tx);
+            counters.refusals.rolledBack(now, exchange, why);
+            exchange.rollBack(pause, counters);
         }
 
         @Override
-        public void abandon(long tx) {
-            open.get(tx).abandon(counters);
+        public void abandon(long tx, Refusal why) {
+            Exchange exchange = open.get(tx);
+            counters.refusals.abandoned(now, exchange, why);
+            exchange.abandon(counters);
         }
 
         @Override
--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -61,7 +61,7 @@
         long now = clock.now();
         long quiet = now - current.heard;
         if (quiet > SILENT) {
-            current.end("silent");
+            current.end("silent", "nothing for " + quiet / 10 + " ms");
         } else if (quiet > DOUBTFUL && spare == null && now >= spareNotBefore) {
             counters.watches++;
             spare = new Watch();
@@ -74,7 +74,7 @@
             Watch old = current;
             current = speaking;
             spare = null;
-            old.end("silent");
+            old.end("silent", "another watch speaks");
         }
     }
 
@@ -108,7 +108,7 @@
             old.add(spare);
             current = null;
             spare = null;
-            old.stream().filter(Objects::nonNull).forEach(each -> each.end("moved"));
+            old.stream().filter(Objects::nonNull).forEach(each -> each.end("moved", "SIGHUP"));
             address = to;
             notBefore = 0;
             watch();
@@ -152,6 +152,10 @@
     // Milliseconds; an agent answers in a few, and nobody is served meanwhile.
     private static final long AGENT_ANSWERS_WITHIN = 2_000;
 
+    long version() {
+        return version;
+    }
+
     private final class Watch {
         private long opened = clock.now();
         private long heard = opened;
@@ -169,11 +173,11 @@
                     .setPort(address.port()).setConnectTimeout(pushed ? AGENT_CONNECTS_WITHIN : CONNECT_WITHIN))
                     .onComplete(up -> {
                         if (up.failed()) {
-                            end("connect-failed");
+                            end("connect-failed", up.cause());
                             return;
                         }
                         connection = up.result();
-                        connection.closeHandler(v -> end("closed"));
+                        connection.closeHandler(v -> end("closed", "connection ended"));
                         if (ended) {
                             connection.close();
                             return;
@@ -187,9 +191,9 @@
                     .setURI("/catalog/members?stream=1&index=" + version);
             connection.request(head).compose(request -> request.send()).onComplete(answer -> {
                 if (answer.failed()) {
-                    end("closed");
+                    end("closed", answer.cause());
                 } else if (answer.result().statusCode() != 200) {
-                    end("refused");
+                    end("refused", "status " + answer.result().statusCode());
                 } else {
                     read(answer.result());
                 }
@@ -199,8 +203,8 @@
         private void read(HttpClientResponse response) {
             heard = clock.now();
             ListReader reader = new ListReader(this::told);
-            response.exceptionHandler(e -> end("closed"));
-            response.endHandler(v -> end("closed"));
+            response.exceptionHandler(e -> end("closed", e));
+            response.endHandler(v -> end("closed", "answer ended"));
             response.handler(bytes -> {
                 heard = clock.now();
                 replaceOther(this);
@@ -240,16 +244,22 @@
         private void unusable(String cause) {
             counters.badLines++;
             counters.log.add(() -> Logger.warn("list code=bad-line cause={}", cause));
-            end("malformed");
+            end("malformed", cause);
+        }
+
+        private void end(String code, Throwable cause) {
+            end(code, cause.getClass().getSimpleName() + " " + cause.getMessage());
         }
 
-        void end(String code) {
+        void end(String code, String cause) {
             if (ended) {
                 return;
             }
             ended = true;
-            counters.ended("watch", code, address.toString(), heardLines,
-                    clock.now() - opened);
+            counters.ended("watch", code, address.toString(), heardLines, clock.now() - opened);
+            long held = version;
+            long quiet = (clock.now() - heard) / 10;
+            counters.log.add(() -> Logger.info("list code=watch-ended cause={} version={} quiet_ms={}", cause, held, quiet));
             if (connection != null) {
                 connection.close();
             }
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -201,6 +201,16 @@
         ready = true;
     }
 
+    /** Ids of transactions whose final answer is still owed. */
+    int openIds() {
+        return traces.size();
+    }
+
+    /** Connections of the application that are open now. */
+    int connections() {
+        return clients.count();
+    }
+
     // -------------------------------------------------- transactions
 
     private void request(HttpServerRequest request) {
--- a/src/main/java/trestlegrade/sidecar/Roster.java
+++ b/src/main/java/trestlegrade/sidecar/Roster.java
@@ -79,6 +79,7 @@
     /** Takes over a list, whole or only what changed; entries that cannot be read are left out and logged. */
     List<Listed> take(JsonArray entries, boolean whole) {
         passes++;
+        stopped.clear();
         List<Listed> rows = new ArrayList<>(entries.size());
         for (int i = 0; i < entries.size(); i++) {
             try {
@@ -101,9 +102,30 @@
             }
             absent.forEach(this::remove);
         }
+        log(entries.size(), whole);
         return rows;
     }
 
+    /** Which endpoints take nothing new from now on, that did before. */
+    private void log(int entries, boolean whole) {
+        int known = byId.size();
+        int stops = stopped.size();
+        List<String> names = List.copyOf(stopped.subList(0, Math.min(MOST_LOGGED, stops)));
+        counters.log.add(() -> Logger.info("list code=applied whole={} entries={} known={} stopped={} names={}", whole, entries,
+                known, stops, names));
+    }
+
+    // A line of the log stays readable, whatever leaves at once.
+    private static final int MOST_LOGGED = 16;
+    private final List<String> stopped = new ArrayList<>();
+
+    private void stop(Endpoint endpoint) {
+        if (endpoint.active) {
+            endpoint.active = false;
+            stopped.add(endpoint.name);
+        }
+    }
+
     /**
      * Of an entry that cannot be read two things hold all the same, if it tells whose it is by name or else by address:
      * that the endpoint drains or has left, or that it is still there, as it was last listed.
@@ -124,7 +146,7 @@
             known.row = goes ? known.row.draining() : known.row;
             rows.add(known.row);
             if (goes && known.active) {
-                known.active = false;
+                stop(known);
                 watcher.outdated(known);
             }
         }
@@ -142,7 +164,7 @@
     /** One that has left is forgotten; attempts that are out to it keep it until they end. */
     private void remove(Endpoint endpoint) {
         byId.remove(endpoint.id);
-        endpoint.active = false;
+        stop(endpoint);
         watcher.outdated(endpoint);
     }
 
@@ -196,7 +218,11 @@
                 || !address.equals(endpoint.address));
         endpoint.address = address;
         endpoint.launched = launched;
-        endpoint.active = state == Listed.State.READY;
+        if (state == Listed.State.READY) {
+            endpoint.active = true;
+        } else {
+            stop(endpoint);
+        }
         endpoint.pass = passes;
         if (endpoint.active && !outlives(endpoint, rows)) {
             rows.add(new Listed(id, 0, 0, 0, Listed.State.GONE, 0, 0));
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -136,6 +136,7 @@
                 commission.version(), desk);
         discovery.adopt(commission.terms());
         front = new Front(vertx, context, clock, counters, desk, roster, commission, clients, transport, lateness);
+        gauges(vertx);
         desk.start(roster, attempts, discovery::watch, commission.known());
         return discovery.relied().compose(v -> front.listen())
                 .onFailure(e -> log.add(() -> Logger.error("serve code=listen-failed listen={} cause={}",
@@ -152,6 +153,18 @@
                 });
     }
 
+    /** What is open now: each figure is back at 0 once nothing is under way. */
+    private void gauges(Vertx vertx) {
+        counters.gauge("transactions", desk::open);
+        counters.gauge("decided_on", desk::decidedOn);
+        counters.gauge("settings_in_use", desk::settingsInUse);
+        counters.gauge("open_ids", front::openIds);
+        counters.gauge("clients", front::connections);
+        counters.gauge("pooled", attempts::connections);
+        counters.gauge("list_version", discovery::version);
+        MemoryWatch.start(vertx, counters);
+    }
+
     /**
      * SIGHUP: the file is read anew, on the signal's own thread; each signal has one, and the one that read last must be
      * the one that is taken over last. Where discovery is and the settings change under
