--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -82,6 +82,30 @@
         assertEquals(0, desk.balance.server(1_199).failedInRow);
     }
 
+    /** However it is given up, nothing of a transaction is held once it has its answer and no attempt is out. */
+    @ParameterizedTest
+    @ValueSource(strings = {"DRAINING", "COLD", "FAILED"})
+    void whatIsGivenUpIsForgotten(String cause) {
+        Desk desk = new Desk().fleet(cause.equals("DRAINING") ? State.DRAINING : State.READY, 0);
+        for (int i = 0; i < 1_000; i++) {
+            desk.arrive(i % 3);
+            if (cause.equals("FAILED")) {
+                while (desk.balance.held() > 0) {
+                    desk.end(desk.last(), Outcome.NO_CONNECTION, 10);
+                }
+            } else if (cause.equals("COLD")) {
+                desk.now += 10;
+            }
+        }
+        if (cause.equals("COLD")) {
+            desk.pass(20_000);
+            List.copyOf(desk.sent).forEach(each -> desk.end(each, Outcome.TIMED_OUT, 10_000));
+        }
+        desk.pass(20_000);
+        assertEquals(0, desk.balance.held());
+        assertEquals(1_000, desk.answers.size());
+    }
+
     /** A journalled transaction that may have run is neither resent past its window nor rolled back. */
     @Test
     void windowCountsFromTheFirstAttemptThatMayHaveRun() {
