The list of servers is held under a lease, and every transaction is forgotten once it ends

Cause (drain): Discovery.Watch.end and Balance.listFailed backed off and asked again, and nothing ended the right to send by a list that nobody confirmed: three refused calls took 8 s, and what had drained after 1.9 s of these counted as told after 7.9. Cause (exit status 3): Balance.giveUp called from a beat (a transaction that had waited in vain) left it in Balance.txById, and Desk.open kept its exchange with the body, for only arrived, attemptEnded and clientLeft cleared these tables. Ruled out: a list line that was not applied (the watches carried none), a desk that stood still, bodies of 500 clients at once (446 committed, 141 MB, trial on a scratch client). Change: ListLease, renewed by what discovery writes between two objects, by an accepted connection where lists are pushed, and while nothing listens at its address (told only after its return); it ends 6 s after the last, plus the grace less 0.3 s, 4 s after a move. Past it a transaction is refused at once (reason stale_list), also one whose attempt waits for a connection. Balance.forgetIfOver and Desk.forgetIfOver are called wherever a transaction may end. Related: a client that left before its transaction reached the desk no longer faults there.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -35,6 +35,7 @@
     private final Terms terms;
     private final Outlet outlet;
     private final Chance chance;
+    private final ListLease lease;
 
     private final LongIntHashMap serverIndex = new LongIntHashMap();
     private final List<Server> servers = new ArrayList<>();
@@ -48,7 +49,12 @@
     private double steadyWeight;
 
     public Balance(Terms terms, long seed, Outlet outlet) {
+        this(terms, seed, outlet, ListLease.permanent());
+    }
+
+    public Balance(Terms terms, long seed, Outlet outlet, ListLease lease) {
         this.terms = terms;
+        this.lease = lease;
         this.chance = new Chance(seed);
         this.outlet = outlet;
         int profiles = terms.profiles().size();
@@ -174,18 +180,20 @@
             finish(tx);
         }
         backward(now, tx, tx.attempts.get(attempt), took);
-        if (tx.done && tx.out == 0) {
-            txById.remove(id);
-        }
+        forgetIfOver(tx);
     }
 
     public void clientLeft(long now, long id) {
         Tx tx = txById.get(id);
         if (tx != null) {
             finish(tx);
-            if (tx.out == 0) {
-                txById.remove(id);
-            }
+        }
+    }
+
+    /** Held until it has its answer and no attempt is out, wherever the last of that happens. */
+    private void forgetIfOver(Tx tx) {
+        if (tx.done && tx.out == 0) {
+            txById.remove(tx.id);
         }
     }
 
@@ -251,7 +259,7 @@
         default void back(long now, Tx tx, Attempt attempt, long took) { }
     }
 
-    private final Stage[] chain = {new Leave(), new Early(), new Choose()};
+    private final Stage[] chain = {new Leave(), new Confirmed(), new Early(), new Choose()};
 
     private void forward(long now, Tx tx, int from) {
         for (int i = from; i < chain.length; i++) {
@@ -319,6 +327,7 @@
                 }
             }
         }
+        forgetIfOver(tx);
     }
 
     /** Rule 1. First in, last back: sees that each transaction is still worth an attempt, or ends it. */
@@ -390,6 +399,23 @@
         }
     }
 
+    // -------------------------------------------------- rule 3: the list must be confirmed
+
+    /** Sends nothing by a list that discovery has not confirmed for too long; who is refused can turn elsewhere. */
+    private final class Confirmed implements Stage {
+        @Override
+        public boolean pass(long now, Tx tx) {
+            if (lease.valid(now)) {
+                return true;
+            }
+            giveUp(tx, STALE_PAUSE, Refusal.STALE_LIST);
+            return false;
+        }
+    }
+
+    // A call of discovery takes about as long to be made and answered.
+    private static final long STALE_PAUSE = 10_000;
+
     // -------------------------------------------------- early rollback
 
     /** Ends transactions at the door when the wait already spoils the service goal (call dropping in D2). */
--- /dev/null
+++ b/src/main/java/trestlegrade/ListLease.java
@@ -0,0 +1,64 @@
+package trestlegrade;
+
+/**
+ * The lease under which a sidecar sends by the list of servers that it holds. Every word of discovery renews it, and
+ * without one it ends by itself: from then on a server may drain without this sidecar having heard of it, and what is sent
+ * there breaks the promise to let it drain. How often discovery is asked, and why calls of it fail, has no part in that.
+ *
+ * <p>Times are tenths of a millisecond of a clock that does not step.
+ */
+public final class ListLease {
+    /** A change of the list counts as told so long after discovery had it and could be reached, whatever failed. */
+    static final long NOTICE = 60_000;
+    /** After new settings named another discovery all that it has counts as told so much later. */
+    static final long NOTICE_AFTER_MOVE = 40_000;
+    /** Kept of the grace for draining servers: a process may be held up for half of it before it writes. */
+    static final long HELD_UP = 3_000;
+    /** The part of a short grace that is used all the same. */
+    static final int LEAST_PART = 3;
+
+    private long grace;
+    /** The earliest time at which a change that is not known here may count as told. */
+    private long unknownFrom;
+
+    /** Begins with a list that was confirmed at the time given; a server that drains may be sent to during the grace. */
+    public ListLease(long confirmedAt, long grace) {
+        unknownFrom = confirmedAt + NOTICE;
+        grace(grace);
+    }
+
+    /** One that never ends, where lists come without being watched. */
+    public static ListLease permanent() {
+        return new ListLease(Long.MAX_VALUE / 2, 0);
+    }
+
+    /** New settings for how long a server that drains may be sent to. */
+    public void grace(long newGrace) {
+        grace = newGrace;
+    }
+
+    /** Discovery spoke at this time, and had nothing that is not known here. */
+    public void confirmed(long at) {
+        unknownFrom = Math.max(unknownFrom, at + NOTICE);
+    }
+
+    /** Nothing listened at discovery's address at this time: what it has can be told only after its return. */
+    public void unreachable(long at) {
+        unknownFrom = Math.max(unknownFrom, at + NOTICE);
+    }
+
+    /** Discovery is asked elsewhere from now on, and has not spoken there yet. */
+    public void moved(long now) {
+        unknownFrom = Math.min(unknownFrom, now + NOTICE_AFTER_MOVE);
+    }
+
+    /** Lists are pushed, and the watch on them has ended: what the agent learns from now on counts as told at once. */
+    public void unwatched(long now) {
+        unknownFrom = Math.min(unknownFrom, now);
+    }
+
+    /** Whether anything may be sent by the list. */
+    public boolean valid(long now) {
+        return now < unknownFrom + Math.max(grace - HELD_UP, grace / LEAST_PART);
+    }
+}
--- a/src/main/java/trestlegrade/Refusal.java
+++ b/src/main/java/trestlegrade/Refusal.java
@@ -2,6 +2,8 @@
 
 /** Why a transaction is given up: told with its final answer, counted and logged. */
 public enum Refusal {
+    /** The list of servers has not been confirmed for too long: any of them may drain. */
+    STALE_LIST,
     /** Early rollback: the expected wait spoils the service goal, or the customer is over its share. */
     OVERLOAD,
     /** No listed server may take it. */
--- a/src/main/java/trestlegrade/sidecar/Commission.java
+++ b/src/main/java/trestlegrade/sidecar/Commission.java
@@ -22,7 +22,7 @@
 record Commission(String name, SocketAddress listen, SocketAddress discovery, long seed, int sockets,
                   long version, JsonArray known, Terms terms, List<String> profiles, List<String> customers,
                   List<String> zones, List<String> kinds, long idleFor, long connectWithin,
-                  double agreedRate) {
+                  double agreedRate, long drainGrace) {
 
     /** Reads the file that LB_CONFIG names; what the file leaves out may stand in the environment. */
     static Commission read(Map<String, String> environment) {
@@ -74,7 +74,8 @@
                 entries, terms,
                 names(settings, "profiles"), names(settings, "tenants"), zones,
                 plain(settings, "flavors"), reader.time("ceilings.keepalive", 10_000.0),
-                reader.time("ceilings.dial_timeout", 250.0), agreedRate(settings) / terms.sidecars());
+                reader.time("ceilings.dial_timeout", 250.0), agreedRate(settings) / terms.sidecars(),
+                reader.time("safety.drain_grace", 0.0));
     }
 
     /** The longest deadline, in milliseconds: what any transaction takes at the most. */
@@ -99,7 +100,7 @@
     boolean sameSettings(Commission other) {
         return terms.equals(other.terms) && profiles.equals(other.profiles) && customers.equals(other.customers)
                 && zones.equals(other.zones) && kinds.equals(other.kinds) && idleFor == other.idleFor
-                && connectWithin == other.connectWithin;
+                && connectWithin == other.connectWithin && drainGrace == other.drainGrace;
     }
 
     /** Transactions a second that all customers together are granted of all sidecars; infinite if none says. */
--- a/src/main/java/trestlegrade/sidecar/Counters.java
+++ b/src/main/java/trestlegrade/sidecar/Counters.java
@@ -45,6 +45,7 @@
     long watches;
     long badLines;
     long badEntries;
+    long leasesExpired;
     /** Tenths of a millisecond, to two digits up to a minute. */
     final Histogram attemptTook = new Histogram(600_000, 2);
     final Histogram loopLate = new Histogram(600_000, 2);
@@ -103,6 +104,7 @@
                 .put("attempts_sent", sent).put("attempts_ended", ends).put("connects", connects)
                 .put("no_descriptor", noDescriptor).put("connections_ended", codes)
                 .put("list_lines", listLines).put("watches", watches).put("list_lines_bad", badLines).put("list_entries_bad", badEntries)
+                .put("list_expired", leasesExpired)
                 .put("loop_turns", turns.all()).put("loop_turns_idle", turns.idle.sum())
                 .put("refused", refusals.report()).put("now", gauges()).put("log_lines_dropped", log.dropped())
                 .put("attempt_ms", milliseconds(attemptTook)).put("loop_late_ms", milliseconds(loopLate));
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tinylog.Logger;
 import trestlegrade.Balance;
+import trestlegrade.ListLease;
 import trestlegrade.Listed;
 import trestlegrade.Outcome;
 import trestlegrade.Outlet;
@@ -28,6 +29,7 @@
     private final Clock clock;
     private final Counters counters;
     private final Lateness lateness;
+    private final ListLease lease;
     private final Queue<Runnable> in = new ConcurrentLinkedQueue<>();
     /** What the list says goes before all else: after a stall a transaction must not go by the old list. */
     private final Queue<Runnable> list = new ConcurrentLinkedQueue<>();
@@ -43,12 +45,13 @@
     private long nextId;
 
     Desk(Vertx vertx, Context context, Clock clock, Counters counters, Lateness lateness, Terms terms,
-         long seed) {
+         long seed, ListLease lease) {
         this.vertx = vertx;
         this.context = context;
         this.clock = clock;
         this.counters = counters;
         this.lateness = lateness;
+        this.lease = lease;
         tenure = new Tenure(terms, seed);
     }
 
@@ -96,21 +99,23 @@
             tenure.taken++;
             tenure.balance.arrived(now, exchange.id, exchange.profile, exchange.customer, exchange.key,
                     exchange.end - now, exchange.cost);
-            forget(exchange);
+            forgetIfOver(exchange);
         });
     }
 
     void clientLeft(Exchange exchange) {
         put(() -> {
             leave(exchange);
-            forget(exchange);
+            forgetIfOver(exchange);
         });
     }
 
     private void leave(Exchange exchange) {
         if (!exchange.over()) {
             exchange.clientLeft(counters);
-            exchange.tenure.balance.clientLeft(now, exchange.id);
+            if (exchange.tenure != null) {
+                exchange.tenure.balance.clientLeft(now, exchange.id);
+            }
         }
     }
 
@@ -131,7 +136,7 @@
             }
             exchange.tenure.balance.attemptEnded(now, exchange.id, attempt.number, outcome, clock.now() - attempt.sent,
                     exchange.over());
-            forget(exchange);
+            forgetIfOver(exchange);
         });
     }
 
@@ -170,7 +175,11 @@
         return 1 + earlier.size();
     }
 
-    private void forget(Exchange exchange) {
+    /**
+     * Called wherever an answer is given or an attempt ends, for either may be the last. Left to those who handle an arrival
+     * or an end, all that was given up while it waited stayed here for good, with its body.
+     */
+    private void forgetIfOver(Exchange exchange) {
         if (exchange.over() && exchange.out == 0 && open.remove(exchange.id) != null
                 && --exchange.tenure.taken == 0) {
             earlier.remove(exchange.tenure);
@@ -214,7 +223,7 @@
         private int taken;
 
         private Tenure(Terms terms, long seed) {
-            balance = new Balance(terms, seed, this);
+            balance = new Balance(terms, seed, this, lease);
         }
 
         @Override
@@ -236,6 +245,7 @@
             Exchange exchange = open.get(tx);
             counters.refusals.rolledBack(now, exchange, why);
             exchange.rollBack(pause, counters);
+            forgetIfOver(exchange);
         }
 
         @Override
@@ -243,6 +253,7 @@
             Exchange exchange = open.get(tx);
             counters.refusals.abandoned(now, exchange, why);
             exchange.abandon(counters);
+            forgetIfOver(exchange);
         }
 
         @Override
--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -13,10 +13,12 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.SocketAddress;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import org.tinylog.Logger;
+import trestlegrade.ListLease;
 import trestlegrade.Terms;
 
 /** Watches discovery for changes of the list, one watch at a time; the desk says when to ask again. */
@@ -28,6 +30,8 @@
     private SocketAddress address;
     private final HttpClientAgent client;
     private final Desk desk;
+    private final ListLease lease;
+    private boolean expired;
     private long version;
     private Watch current;
     /** Takes the place of one that has gone quiet, once it has brought something itself. */
@@ -35,7 +39,7 @@
     private long spareNotBefore;
 
     Discovery(Vertx vertx, Clock clock, Counters counters, Lateness lateness, SocketAddress address, long version,
-              Desk desk) {
+              Desk desk, ListLease lease) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
@@ -43,6 +47,8 @@
         this.address = address;
         this.version = version;
         this.desk = desk;
+        this.lease = lease;
+        heardAt = clock.now();
         client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false));
         // After a stall what has come is read first.
         vertx.setPeriodic(LOOK, t -> lateness.caughtUp(this::look));
@@ -55,6 +61,7 @@
      * only be late.
      */
     private void look() {
+        lookAtLease();
         if (current == null) {
             return;
         }
@@ -69,6 +76,30 @@
         }
     }
 
+    private void lookAtLease() {
+        if (expired == lease.valid(clock.now())) {
+            expired = !expired;
+            String code = expired ? "expired" : "renewed";
+            counters.leasesExpired += expired ? 1 : 0;
+            long held = version;
+            long age = age();
+            counters.log.add(() -> Logger.warn("list code={} version={} unconfirmed_ms={}", code, held, age));
+        }
+    }
+
+    /** Milliseconds since discovery last spoke. */
+    long age() {
+        return (clock.now() - heardAt) / 10;
+    }
+
+    /** What was read behind a stall may have been written before it. */
+    private void confirmed() {
+        heardAt = clock.now() - Math.max(0, lateness.unread());
+        lease.confirmed(heardAt);
+    }
+
+    private long heardAt;
+
     private void replaceOther(Watch speaking) {
         if (spare == speaking) {
             Watch old = current;
@@ -110,6 +141,7 @@
             spare = null;
             old.stream().filter(Objects::nonNull).forEach(each -> each.end("moved", "SIGHUP"));
             address = to;
+            lease.moved(clock.now());
             notBefore = 0;
             watch();
         }
@@ -152,6 +184,11 @@
     // Milliseconds; an agent answers in a few, and nobody is served meanwhile.
     private static final long AGENT_ANSWERS_WITHIN = 2_000;
 
+    /** Nobody listens there: told from all that may fail on the way, or on this side. */
+    private static boolean isRefused(Throwable cause) {
+        return cause instanceof ConnectException && String.valueOf(cause.getMessage()).startsWith("Connection refused");
+    }
+
     long version() {
         return version;
     }
@@ -174,6 +211,9 @@
                     .onComplete(up -> {
                         if (up.failed()) {
                             end("connect-failed", up.cause());
+                            if (isRefused(up.cause())) {
+                                lease.unreachable(opened);
+                            }
                             return;
                         }
                         connection = up.result();
@@ -187,6 +227,10 @@
         }
 
         private void ask() {
+            if (pushed) {
+                // An agent that has something says it at once; while it is cut off itself it is silent, and learns nothing.
+                confirmed();
+            }
             RequestOptions head = new RequestOptions().setMethod(HttpMethod.GET)
                     .setURI("/catalog/members?stream=1&index=" + version);
             connection.request(head).compose(request -> request.send()).onComplete(answer -> {
@@ -211,6 +255,9 @@
                 try {
                     if (!ended) {
                         reader.read(bytes);
+                        if (!ended && reader.betweenObjects()) {
+                            confirmed();
+                        }
                     }
                 } catch (RuntimeException e) {
                     unusable(e.getMessage());
@@ -270,6 +317,7 @@
                 current = spare;
                 spare = null;
                 if (current == null && pushed) {
+                    lease.unwatched(clock.now());
                     notBefore = clock.now() + pause;
                     pause = Math.min(2 * pause, LAST_PAUSE);
                     watch();
--- a/src/main/java/trestlegrade/sidecar/ListReader.java
+++ b/src/main/java/trestlegrade/sidecar/ListReader.java
@@ -27,6 +27,11 @@
         });
     }
 
+    /** Whether the latest bytes ended an object, or belonged to none. */
+    boolean betweenObjects() {
+        return unfinished == 0;
+    }
+
     void read(Buffer bytes) {
         // The empty lines of an idle watch belong to no object and need no parser.
         if (unfinished == 0 && blank(bytes)) {
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import trestlegrade.ListLease;
 
 /**
  * Transactions that a sidecar sends through a desk of their own to itself before it calls itself ready: cold
@@ -50,9 +51,10 @@
         this.clock = clock;
         this.commission = commission;
         Counters counters = new Counters(log);
-        desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
+        desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed(),
+                ListLease.permanent());
         // This sidecar itself sends nothing behind an answer.
-        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, 1);
+        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, 1, ListLease.permanent());
         roster = new Roster(commission.zones(), commission.kinds(), attempts::outdated, counters);
         quickRound = quickRound(commission.agreedRate());
         begun = clock.now();
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import sun.misc.Signal;
+import trestlegrade.ListLease;
 
 /** Puts one sidecar together, starts it, and brings it to its end on SIGTERM. */
 public final class Sidecar {
@@ -26,6 +27,7 @@
     private final CountDownLatch failed = new CountDownLatch(1);
     /** With the settings as they are now. */
     private Commission inForce;
+    private ListLease lease;
     private Desk desk;
     private Attempts attempts;
     private Front front;
@@ -124,16 +126,20 @@
         }
     }
 
+    // Tenths of a millisecond from the start of the process to the first line here, on part of a core.
+    private static final long STARTED_BEFORE = 10_000;
+
     /** On the context that all of this sidecar runs on. */
     Future<Integer> start(Vertx vertx, Context context) {
         Clock clock = new Clock();
         long begun = clock.now();
         Lateness lateness = new Lateness(vertx, clock, counters.loopLate);
-        desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed());
-        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, Attempts.SETTLED);
+        lease = new ListLease(begun - STARTED_BEFORE, commission.drainGrace());
+        desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed(), lease);
+        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, Attempts.SETTLED, lease);
         Roster roster = new Roster(commission.zones(), commission.kinds(), attempts::outdated, counters);
         discovery = new Discovery(vertx, clock, counters, lateness, commission.discovery(),
-                commission.version(), desk);
+                commission.version(), desk, lease);
         discovery.adopt(commission.terms());
         front = new Front(vertx, context, clock, counters, desk, roster, commission, clients, transport, lateness);
         gauges(vertx);
@@ -162,6 +168,7 @@
         counters.gauge("clients", front::connections);
         counters.gauge("pooled", attempts::connections);
         counters.gauge("list_version", discovery::version);
+        counters.gauge("list_unconfirmed_ms", discovery::age);
         MemoryWatch.start(vertx, counters);
     }
 
@@ -195,6 +202,7 @@
             attempts.adopt(told);
             front.adopt(told);
             discovery.adopt(told.terms());
+            lease.grace(told.drainGrace());
             desk.adopt(told.terms(), commission.seed(),
                     told.zones().isEmpty() ? null : told.zones().get(told.terms().zone()));
             int open = desk.open();
--- a/src/test/java/trestlegrade/Desk.java
+++ b/src/test/java/trestlegrade/Desk.java
@@ -36,6 +36,15 @@
     }
 
     Desk(long seed, Group group, int maxAttempts, String... further) {
+        this(seed, ListLease.permanent(), group, maxAttempts, further);
+    }
+
+    /** One that sends by a list as long as the lease holds. */
+    Desk(ListLease lease, Group group, int maxAttempts) {
+        this(7, lease, group, maxAttempts);
+    }
+
+    private Desk(long seed, ListLease lease, Group group, int maxAttempts, String... further) {
         StringBuilder settings = new StringBuilder("""
                 n_instances=4
                 ceilings.cancelling=true
@@ -56,7 +65,7 @@
                     + at + "group=" + group.name().toLowerCase() + "\n" + at + "dedup_window=2000\n");
         }
         settings.append(String.join("\n", further));
-        balance = new Balance(TermsReader.ofLines(settings.toString()).terms(), seed, this);
+        balance = new Balance(TermsReader.ofLines(settings.toString()).terms(), seed, this, lease);
         balance.start(now);
     }
 
--- /dev/null
+++ b/src/test/java/trestlegrade/ListLeaseTest.java
@@ -0,0 +1,71 @@
+package trestlegrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import trestlegrade.Listed.State;
+import trestlegrade.Terms.Group;
+
+/** The lease of the list; times in tenths of a millisecond, confirmed at 100,000 first. */
+class ListLeaseTest {
+
+    /** What happens at 130,000, and until when the list may be sent by; held up for 0.15 s it is still within the grace. */
+    @ParameterizedTest
+    @CsvSource({"nothing, 10000, 167000", "nothing, 2500, 160833", "nothing, 0, 160000", "confirmed, 10000, 197000",
+        "late word, 10000, 167000", "unreachable, 10000, 197000", "moved, 10000, 177000", "unwatched, 10000, 137000",
+        "moved and confirmed, 10000, 197000", "unwatched and unreachable, 10000, 197000", "shorter grace, 10000, 160833"})
+    void ends(String event, long grace, long end) {
+        ListLease lease = new ListLease(100_000, grace);
+        long now = 130_000;
+        switch (event) {
+            case "confirmed" -> lease.confirmed(now);
+            case "late word" -> lease.confirmed(90_000);
+            case "unreachable" -> lease.unreachable(now);
+            case "moved" -> {
+                lease.confirmed(now);
+                lease.moved(now);
+            }
+            case "unwatched" -> lease.unwatched(now);
+            case "moved and confirmed" -> {
+                lease.moved(now);
+                lease.confirmed(now);
+            }
+            case "unwatched and unreachable" -> {
+                lease.unwatched(now);
+                lease.unreachable(now);
+            }
+            case "shorter grace" -> lease.grace(2_500);
+            default -> { }
+        }
+        assertTrue(lease.valid(end - 1));
+        assertFalse(lease.valid(end));
+    }
+
+    @Test
+    void aPermanentOneNeverEnds() {
+        assertTrue(ListLease.permanent().valid(Long.MAX_VALUE / 2));
+    }
+
+    /** Nothing is sent past its end: no first attempt, none for what waited, and none behind one that failed. */
+    @Test
+    void decisionsSendNothingPastItsEnd() {
+        ListLease lease = new ListLease(1_000_000, 10_000);
+        Desk desk = new Desk(lease, Group.ALL, 3).fleet(State.READY, 0);
+        long open = desk.arrive(2);
+        assertEquals(1, desk.sent.size());
+        desk.now += ListLease.NOTICE + 7_000;
+        desk.end(desk.last(), Outcome.NO_CONNECTION, 100);
+        desk.arrive(0);
+        assertEquals(1, desk.sent.size());
+        assertEquals("rolled back " + open, desk.answers.get(0));
+        assertEquals(2, desk.answers.size());
+        assertEquals(0, desk.balance.held());
+        lease.confirmed(desk.now);
+        desk.arrive(0);
+        assertEquals(2, desk.sent.size());
+    }
+}
