A list line that is never finished is asked for again; tests of quiet watches say when they beat

Cause: in Discovery.Watch.read any byte counted as a word, also empty lines behind half an object, so a watch with a torn line was kept for good and its change never came; found while tests got a discovery that beats. Change: Discovery.Watch.read, ListReader.blank.

--- a/src/main/java/trestlegrade/sidecar/Discovery.java
+++ b/src/main/java/trestlegrade/sidecar/Discovery.java
@@ -250,7 +250,10 @@
             response.exceptionHandler(e -> end("closed", e));
             response.endHandler(v -> end("closed", "answer ended"));
             response.handler(bytes -> {
-                heard = clock.now();
+                // Behind half an object an empty line is no word: it went on for good, and the object never came.
+                if (reader.betweenObjects() || !ListReader.blank(bytes)) {
+                    heard = clock.now();
+                }
                 replaceOther(this);
                 try {
                     if (!ended) {
--- a/src/main/java/trestlegrade/sidecar/ListReader.java
+++ b/src/main/java/trestlegrade/sidecar/ListReader.java
@@ -44,7 +44,7 @@
         parser.handle(bytes);
     }
 
-    private static boolean blank(Buffer bytes) {
+    static boolean blank(Buffer bytes) {
         for (int i = 0; i < bytes.length(); i++) {
             if (bytes.getByte(i) > ' ') {
                 return false;
--- a/src/test/java/trestlegrade/sidecar/ListsIT.java
+++ b/src/test/java/trestlegrade/sidecar/ListsIT.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -27,6 +28,12 @@
 class ListsIT extends Loopback {
     private final Stub[] at = {endpoint(r -> answer(200, "", "good")), endpoint(r -> answer(200, "", "good"))};
 
+    /** What a watch brings, and when, is each test's own. */
+    @BeforeEach
+    void quietWatches() {
+        discovery.beats = false;
+    }
+
     /** Serves by the first endpoint and the second, both listed, with one watch open. */
     private void watched() throws Exception {
         patient();
@@ -180,6 +187,18 @@
         assertEquals(1, counters().getJsonObject("connections_ended").getLong("watch:silent"));
     }
 
+    /** Empty lines behind half an object are no word: the rest of it never comes, and another watch is asked for it. */
+    @Test
+    void aLineThatIsNeverFinished() throws Exception {
+        watched();
+        discovery.write(0, "{\"index\":8,\"snapshot\":false,\"endpoints\":[");
+        discovery.beats = true;
+        within(5_000, () -> discovery.seen.size() == 2);
+        discovery.write(1, list(8, false, entry(0, "leaving")) + "\n");
+        told(1);
+        assertEquals(0, shares("t")[0]);
+    }
+
     /** While the one beside it is turned away the quiet one stays, until its time is up. */
     @Test
     void aQuietWatchStaysWhileDiscoveryTurnsAway() throws Exception {
--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -667,6 +667,7 @@
     @ValueSource(strings = {"ends", "refused", "nonsense", "silent"})
     void aWatchThatFailsIsAskedForAgain(String fault) throws Exception {
         endpoint(r -> answer(200, "", "good"));
+        discovery.beats = false;
         discovery.answers = r -> discovery.seen.size() > 1 || !fault.equals("refused") ? HANG : answer(503, "", "");
         serve();
         eventually(() -> !discovery.seen.isEmpty());
