Servers that serve are sent to when discovery is silent: each has a lease of its own

Change: Server.servedAt, the time of the latest attempt that it committed since it last turned one away or took no connection; ListLease.end lets each server be sent to for the same span behind that. An attempt carries the time it must be written before (Outlet.send), also while it waits for a connection. With no server left a transaction is refused at once.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -255,7 +255,7 @@
         default void back(long now, Tx tx, Attempt attempt, long took) { }
     }
 
-    private final Stage[] chain = {new Leave(), new Confirmed(), new Early(), new Choose()};
+    private final Stage[] chain = {new Leave(), new Early(), new Choose()};
 
     private void forward(long now, Tx tx, int from) {
         for (int i = from; i < chain.length; i++) {
@@ -395,23 +395,6 @@
         }
     }
 
-    // -------------------------------------------------- rule 3: the list must be confirmed
-
-    /** Sends nothing by a list that discovery has not confirmed for too long; who is refused can turn elsewhere. */
-    private final class Confirmed implements Stage {
-        @Override
-        public boolean pass(long now, Tx tx) {
-            if (lease.valid(now)) {
-                return true;
-            }
-            giveUp(tx, STALE_PAUSE, Refusal.STALE_LIST);
-            return false;
-        }
-    }
-
-    // A call of discovery takes about as long to be made and answered.
-    private static final long STALE_PAUSE = 10_000;
-
     // -------------------------------------------------- early rollback
 
     /** Ends transactions at the door when the wait already spoils the service goal (call dropping in D2). */
@@ -534,6 +517,10 @@
             Server server = trial != null ? trial : first && blocked ? null : pick(now, tx);
             if (server == null) {
                 blocked |= first;
+                if (!lease.valid(now)) {
+                    giveUp(tx, STALE_PAUSE, Refusal.STALE_LIST);
+                    return false;
+                }
                 if (!tx.attempts.isEmpty() || now - tx.arrived >= waitAtMost(tx)) {
                     giveUp(tx, 0, Refusal.NO_SERVER);
                     return false;
@@ -554,6 +541,9 @@
         }
     }
 
+    // A call of discovery takes about as long to be made and answered.
+    private static final long STALE_PAUSE = 10_000;
+
     /** With no server to send to, a quarter of the service goal is waited: three are left for the work. */
     private long waitAtMost(Tx tx) {
         return Math.min(terms.profiles().get(tx.profile).serviceGoal(), tx.end - tx.arrived) / 4;
@@ -582,7 +572,7 @@
         server.sentLately.add(now, cost(tx));
         server.lastSent = now;
         server.trialsOut += trial ? 1 : 0;
-        outlet.send(tx.id, server.id, tx.end - now);
+        outlet.send(tx.id, server.id, tx.end - now, lease.end(server.servedAt));
     }
 
     /** The design's points for each server in use, by its weight. */
@@ -675,7 +665,7 @@
                 }
                 server.refusedPick = picks;
                 asked++;
-                if (server.shut && strict > 0 || strict > 1 && athome && server.zone != terms.zone()
+                if (now >= lease.end(server.servedAt) || server.shut && strict > 0 || strict > 1 && athome && server.zone != terms.zone()
                         || strict > 3 && (server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5
                         || server.told.at(now) > TOLD_CROWDED * (meanTold + 1))
                         || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
@@ -803,6 +793,7 @@
         openOut = Math.max(0, openOut - (steady(now, server) ? 1 : 0));
         server.trialsOut -= attempt.trial ? 1 : 0;
         Outcome outcome = attempt.outcome;
+        server.tells(now, attempt.sent, outcome);
         if (outcome == Outcome.CALLED_OFF || outcome == Outcome.NOT_SENT) {
             return;
         }
@@ -1028,6 +1019,7 @@
         }
         for (Server server : servers) {
             if (server.shut && server.used && server.trialsOut == 0 && now >= server.tryAt
+                    && now < lease.end(server.servedAt)
                     && mayTakeCold(now, tx, server, 0)) {
                 return server;
             }
--- a/src/main/java/trestlegrade/Outlet.java
+++ b/src/main/java/trestlegrade/Outlet.java
@@ -5,8 +5,11 @@
  * with.
  */
 public interface Outlet {
-    /** Starts the transaction's next attempt; attempts are numbered from 0 in the order of these calls. */
-    void send(long tx, long endpoint, long timeout);
+    /**
+     * Starts the transaction's next attempt; attempts are numbered from 0 in the order of these calls. One that has to wait
+     * for a connection must not be written once {@code writtenBefore} has come.
+     */
+    void send(long tx, long endpoint, long timeout, long writtenBefore);
 
     /** Stops waiting for an attempt. */
     void callOff(long tx, int attempt);
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -42,6 +42,9 @@
     double pace;
     long lastAnswer;
     int failedInRow;
+    /** When the latest was sent that it served, since it last turned one away. */
+    long servedAt = ListLease.NEVER;
+    private long refusedAt = ListLease.NEVER;
     double silence;
     long ages;
     int heardOf;
@@ -130,6 +133,16 @@
         }
     }
 
+    /** What an attempt tells of whether it takes new requests. */
+    void tells(long now, long sent, Outcome outcome) {
+        if (outcome == Outcome.TURNED_AWAY || outcome == Outcome.NO_CONNECTION) {
+            servedAt = ListLease.NEVER;
+            refusedAt = now;
+        } else if (outcome == Outcome.COMMITTED && sent > refusedAt) {
+            servedAt = Math.max(servedAt, sent);
+        }
+    }
+
     /** The share of a profile that fails here, as far as is known; what was known long ago counts for little. */
     double failing(long now, int profile) {
         return profileFailed[profile] * Math.pow(0.5, (now - profileTold[profile]) / PROFILE_MEMORY);
@@ -149,6 +162,7 @@
         patience = firstPatience;
         failedInRow = 0;
         lastAnswer = now;
+        servedAt = ListLease.NEVER;
         Arrays.fill(profileFailed, 0);
         Buckets[] all = {calls, failures, answers, slowness, committed};
         for (Buckets each : all) {
--- a/src/main/java/trestlegrade/benchlink/Reply.java
+++ b/src/main/java/trestlegrade/benchlink/Reply.java
@@ -35,7 +35,7 @@
     }
 
     @Override
-    public void send(long tx, long endpoint, long timeout) {
+    public void send(long tx, long endpoint, long timeout, long writtenBefore) {
         record(1000, 16).putInt((int) tx).putInt((int) endpoint).putDouble(timeout / 10.0);
     }
 
--- a/src/main/java/trestlegrade/sidecar/Attempt.java
+++ b/src/main/java/trestlegrade/sidecar/Attempt.java
@@ -11,6 +11,8 @@
     final int number;
     final Endpoint endpoint;
     final long sent;
+    /** When it must have been written by, or not at all. */
+    final long writtenBefore;
     PooledConnection connection;
     /** Of the last byte; null until the attempt is handed to a connection. */
     Future<Void> written;
@@ -23,10 +25,11 @@
     long heard;
     boolean ended;
 
-    Attempt(Exchange exchange, int number, Endpoint endpoint, long sent) {
+    Attempt(Exchange exchange, int number, Endpoint endpoint, long sent, long writtenBefore) {
         this.exchange = exchange;
         this.number = number;
         this.endpoint = endpoint;
         this.sent = sent;
+        this.writtenBefore = writtenBefore;
     }
 }
--- a/src/main/java/trestlegrade/sidecar/Attempts.java
+++ b/src/main/java/trestlegrade/sidecar/Attempts.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
-import trestlegrade.ListLease;
 import trestlegrade.Outcome;
 import trestlegrade.sidecar.Roster.Endpoint;
 
@@ -32,7 +31,6 @@
     private final Lateness lateness;
     private final int settled;
     private final Ends ends;
-    private final ListLease lease;
     private final NetClient client;
     private final LongObjectHashMap<Deque<PooledConnection>> idle = new LongObjectHashMap<>();
     private long connectWithin;
@@ -41,13 +39,12 @@
     private final long sweeper;
 
     Attempts(Vertx vertx, Clock clock, Counters counters, Lateness lateness, Ends ends, Commission commission,
-         int settled, ListLease lease) {
+         int settled) {
         this.vertx = vertx;
         this.clock = clock;
         this.counters = counters;
         this.lateness = lateness;
         this.settled = settled;
-        this.lease = lease;
         this.ends = ends;
         descriptors = Descriptors.forAttempts(commission.sockets());
         adopt(commission);
@@ -73,7 +70,7 @@
 
     /** Starts an attempt; the timeout is in tenths of a millisecond. */
     void send(Attempt attempt, long timeout) {
-        if (timeout <= 0 || !attempt.endpoint.active || !lease.valid(clock.now())) {
+        if (timeout <= 0 || !attempt.endpoint.active || clock.now() >= attempt.writtenBefore) {
             settle(attempt, Outcome.NOT_SENT);
             return;
         }
@@ -182,7 +179,7 @@
             settle(attempt, Outcome.NO_CONNECTION);
         } else if (attempt.ended) {
             release(connection);
-        } else if (!attempt.exchange.wanted() || !lease.valid(clock.now()) || clock.now() - asked > 20 * connectWithin) {
+        } else if (!attempt.exchange.wanted() || clock.now() >= attempt.writtenBefore || clock.now() - asked > 20 * connectWithin) {
             // Or the list has grown too old meanwhile, or the loop stood still, which is not the endpoint's doing.
             settle(attempt, Outcome.NOT_SENT);
             release(connection);
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -227,9 +227,10 @@
         }
 
         @Override
-        public void send(long tx, long endpoint, long timeout) {
+        public void send(long tx, long endpoint, long timeout, long writtenBefore) {
             Exchange exchange = open.get(tx);
-            Attempt attempt = new Attempt(exchange, exchange.attempts.size(), roster.endpoint(endpoint), clock.now());
+            Attempt attempt = new Attempt(exchange, exchange.attempts.size(), roster.endpoint(endpoint), clock.now(),
+                    writtenBefore);
             exchange.attempts.add(attempt);
             exchange.out++;
             attempts.send(attempt, exchange.wanted() ? timeout : 0);
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -54,7 +54,7 @@
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed(),
                 ListLease.permanent());
         // This sidecar itself sends nothing behind an answer.
-        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, 1, ListLease.permanent());
+        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, 1);
         roster = new Roster(commission.zones(), commission.kinds(), attempts::outdated, counters);
         quickRound = quickRound(commission.agreedRate());
         begun = clock.now();
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -136,7 +136,7 @@
         Lateness lateness = new Lateness(vertx, clock, counters.loopLate);
         lease = new ListLease(begun - STARTED_BEFORE, commission.drainGrace());
         desk = new Desk(vertx, context, clock, counters, lateness, commission.terms(), commission.seed(), lease);
-        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, Attempts.SETTLED, lease);
+        attempts = new Attempts(vertx, clock, counters, lateness, desk::attemptEnded, commission, Attempts.SETTLED);
         Roster roster = new Roster(commission.zones(), commission.kinds(), attempts::outdated, counters);
         discovery = new Discovery(vertx, clock, counters, lateness, commission.discovery(),
                 commission.version(), desk, lease, commission.seed() + 1);
