--- a/src/main/java/trestlegrade/DiscoveryBackoff.java
+++ b/src/main/java/trestlegrade/DiscoveryBackoff.java
@@ -18,7 +18,7 @@
     // For each sidecar of the fleet: 40 calls a second if all call. What is not served by then is not waited for longer,
     // since the list is needed before its lease ends.
     private static final long TURN = 250;
-    private static final long LONGEST_START_SPREAD = 30_000;
+    private static final long LONGEST_START_SPREAD = 20_000;
     private static final long LONGEST_RETRY_SPREAD = 27_500;
     private static final long LONGEST_REPLACEMENT_SPREAD = 10_000;
 
