Bodies held at once have a bound; a start in the future begins now; the timers' handler by its name

A wall clock that stepped back by an hour made Balance.warmth take a server that starts for one that starts in an hour, cold until then. Change: BodyMemory, three tenths of the heap for requests and as much for answers, claimed as they grow and released where their transaction or connection ends; over it 503 with nothing forwarded, or a broken attempt. Server.coldSince. Naps is TimerRoundingIoHandler.

--- a/src/main/java/trestlegrade/Balance.java
+++ b/src/main/java/trestlegrade/Balance.java
@@ -26,6 +26,7 @@
  * <li>early rollback when the wait already spoils the service goal;
  * <li>warm keys: where servers remember keys, the ring position comes from the key instead of from chance;
  * <li>reach: where connections or crossings cost, a window of servers, and the own zone until it is crowded.
+ * <li>lease: while discovery is silent only servers that served lately are picked ({@link ListLease}, rule 3).
  * </ol>
  */
 public final class Balance {
@@ -108,13 +109,18 @@
             }
             Server server = fresh ? newServer(row.id()) : servers.get(index);
             server.gone = false;
-            if (fresh || row.launched() > server.launched) {
+            boolean starts = fresh || row.launched() > server.launched;
+            if (starts) {
                 server.startAfresh(now, meanDrop(), FIRST_TRIAL);
             }
             while (row.kind() >= kinds.size()) {
                 kinds.add(new Server.Kind());
             }
             server.listed(row, kinds.get(row.kind()), terms.weights() != Terms.Weights.NONE);
+            if (starts) {
+                // The list tells wall-clock time, and ours may have stepped back: none starts in the future.
+                server.coldSince = Math.min(now, row.launched());
+            }
         }
         if (terms.weights() == Terms.Weights.LIVE) {
             servers.forEach(server -> server.shownBusy(now));
@@ -665,7 +671,8 @@
                 }
                 server.refusedPick = picks;
                 asked++;
-                if (now >= lease.end(server.servedAt) || server.shut && strict > 0 || strict > 1 && athome && server.zone != terms.zone()
+                if (now >= lease.end(server.servedAt) || server.shut && strict > 0
+                        || strict > 1 && athome && server.zone != terms.zone()
                         || strict > 3 && (server.drop > MUCH_DOWN || server.out >= mean * server.weight + 0.5
                         || server.told.at(now) > TOLD_CROWDED * (meanTold + 1))
                         || strict > 2 && trusted && (server.failedInRow > 0 || server.silence > SUSPECT)
@@ -730,11 +737,11 @@
 
     /** A server's share of its full capacity, at the least; 1 once it is warm. */
     private double warmth(long now, Server server) {
-        long age = now - server.launched;
+        long age = now - server.coldSince;
         if (server.launched == 0 || age >= terms.coldFor()) {
             return 1;
         }
-        return terms.coldFrom() + (1 - terms.coldFrom()) * Math.max(0, age) / terms.coldFor();
+        return terms.coldFrom() + (1 - terms.coldFrom()) * age / terms.coldFor();
     }
 
     /** Whether a server that may be cold can take this: by chance as it warms, and within its budget. */
--- a/src/main/java/trestlegrade/Server.java
+++ b/src/main/java/trestlegrade/Server.java
@@ -15,7 +15,10 @@
     double shown = 1;
     /** How many transactions for each core the list said that it holds, halved in 3 s. */
     final Fading told = new Fading(30_000);
+    /** When it last started, as the list tells it. */
     long launched;
+    /** When its warming began, by the clock here. */
+    long coldSince;
     boolean ready;
     boolean gone;
     /** Whether this sidecar sends to it at all. */
--- a/src/main/java/trestlegrade/sidecar/Attempt.java
+++ b/src/main/java/trestlegrade/sidecar/Attempt.java
@@ -14,6 +14,8 @@
     /** When it must have been written by, or not at all. */
     final long writtenBefore;
     PooledConnection connection;
+    /** What its answer's body holds; null until it is written. */
+    BodyMemory.Claim memory;
     /** Of the last byte; null until the attempt is handed to a connection. */
     Future<Void> written;
     /** Of the answer; its body is null until it is whole. */
--- a/src/main/java/trestlegrade/sidecar/Attempts.java
+++ b/src/main/java/trestlegrade/sidecar/Attempts.java
@@ -36,6 +36,7 @@
     private long connectWithin;
     private long idleFor;
     private final Descriptors descriptors;
+    private final BodyMemory answers = BodyMemory.ofHeap(ANSWERS);
     private final long sweeper;
 
     Attempts(Vertx vertx, Clock clock, Counters counters, Lateness lateness, Ends ends, Commission commission,
@@ -63,6 +64,14 @@
     // Much finer than the fifth above at any idle time of seconds.
     private static final long SWEEP = 500;
 
+    // Of the heap; as much is for the bodies of requests, and the rest is what a sidecar with large lists needs.
+    private static final double ANSWERS = 0.3;
+
+    /** Bytes that the bodies of answers hold. */
+    long answerBytes() {
+        return answers.held();
+    }
+
     /** Connections to endpoints that are open or coming up. */
     int connections() {
         return descriptors.held();
@@ -179,7 +188,8 @@
             settle(attempt, Outcome.NO_CONNECTION);
         } else if (attempt.ended) {
             release(connection);
-        } else if (!attempt.exchange.wanted() || clock.now() >= attempt.writtenBefore || clock.now() - asked > 20 * connectWithin) {
+        } else if (!attempt.exchange.wanted() || clock.now() >= attempt.writtenBefore
+                || clock.now() - asked > 20 * connectWithin) {
             // Or the list has grown too old meanwhile, or the loop stood still, which is not the endpoint's doing.
             settle(attempt, Outcome.NOT_SENT);
             release(connection);
@@ -266,6 +276,7 @@
 
     private void write(Attempt attempt, PooledConnection connection) {
         attempt.connection = connection;
+        attempt.memory = answers.claim();
         counters.sent++;
         attempt.written = connection.write(attempt, clock.now());
         attempt.written.onFailure(e -> spoilt(attempt, "broken"));
@@ -326,6 +337,9 @@
         attempt.ended = true;
         vertx.cancelTimer(attempt.timer);
         vertx.cancelTimer(attempt.partTimer);
+        if (attempt.memory != null && outcome != Outcome.COMMITTED) {
+            attempt.memory.release();
+        }
         PooledConnection connection = attempt.connection;
         boolean whole = attempt.written != null && attempt.written.succeeded();
         boolean answered = outcome == Outcome.COMMITTED || outcome == Outcome.TURNED_AWAY
--- a/src/main/java/trestlegrade/sidecar/BoundedTransport.java
+++ b/src/main/java/trestlegrade/sidecar/BoundedTransport.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Vert.x's usual transport, but its loop sleeps between timers ({@link Naps}), and its listener accepts no
+ * Vert.x's usual transport, but its loop sleeps between timers ({@link TimerRoundingIoHandler}), and its listener accepts no
  * connection while there is no descriptor for one: the client waits in the listener's queue instead. To accept and
  * close it would lose what it has sent.
  */
@@ -124,7 +124,7 @@
 
     @Override
     public IoHandlerFactory ioHandlerFactory() {
-        return Naps.over(usual.ioHandlerFactory(), turns);
+        return TimerRoundingIoHandler.over(usual.ioHandlerFactory(), turns);
     }
 
     @Override
--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/src/main/java/trestlegrade/sidecar/Clients.java
@@ -26,6 +26,8 @@
         /** The answer that is owed to what is being read; null while nothing is. */
         private HttpServerResponse reading;
         private Exchange exchange;
+        /** Of the body that is being read, or was and is no transaction's. */
+        private BodyMemory.Claim memory;
         /** Its last answer; done once the kernel has all of it. */
         private Future<Void> written = Future.succeededFuture();
         private boolean ending;
@@ -39,8 +41,9 @@
         }
 
         /** A head has come. */
-        void reads(HttpServerResponse answer, long now) {
+        void reads(HttpServerResponse answer, BodyMemory.Claim body, long now) {
             reading = answer;
+            memory = body;
             used = now;
         }
 
@@ -52,6 +55,8 @@
         void took(Exchange taken) {
             reading = null;
             exchange = taken;
+            taken.holds(memory);
+            memory = null;
             carried++;
         }
 
@@ -87,6 +92,11 @@
             return Math.max(used, decoder.heard());
         }
 
+        /** Done once its last answer is written, or can no longer be. */
+        Future<Void> written() {
+            return written;
+        }
+
         void send(HttpServerResponse response, int status, Buffer body, long now) {
             // What the client has sent ahead was taken with its last byte, and has its answer before the end.
             boolean more = decoder.waits();
@@ -100,10 +110,18 @@
             // A connection may stand idle for a while: what its last transaction brought is not held for that.
             reading = null;
             exchange = null;
+            release();
             used = now;
             written = response.setStatusCode(status).end(body);
         }
 
+        private void release() {
+            if (memory != null) {
+                memory.release();
+                memory = null;
+            }
+        }
+
         void close(String why) {
             reason = reason == null ? why : reason;
             http.close();
@@ -155,6 +173,7 @@
         connection.exceptionHandler(e -> { });
         connection.closeHandler(v -> {
             open.remove(connection);
+            client.release();
             String unasked = client.busy() ? "client-left" : "client-closed";
             String code = client.reason != null ? client.reason : unasked;
             counters.ended("client", code, connection.remoteAddress().toString(), client.carried,
--- a/src/main/java/trestlegrade/sidecar/Desk.java
+++ b/src/main/java/trestlegrade/sidecar/Desk.java
@@ -91,6 +91,7 @@
             if (!exchange.wanted()) {
                 // Its client left while it waited here, or before it was read.
                 exchange.clientLeft(counters);
+                forgetIfOver(exchange);
                 return;
             }
             exchange.id = ++nextId;
@@ -126,7 +127,7 @@
             counters.attempt(outcome);
             if (outcome == Outcome.COMMITTED) {
                 exchange.commit(Heads.onward(attempt.head.headers(), attempt.head.headers().get("Connection")),
-                        attempt.answer, counters);
+                        attempt.answer, counters).onComplete(written -> attempt.memory.release());
                 counters.attemptTook.recordValue(Math.min(clock.now() - attempt.sent,
                         counters.attemptTook.getHighestTrackableValue()));
             }
@@ -180,8 +181,11 @@
      * or an end, all that was given up while it waited stayed here for good, with its body.
      */
     private void forgetIfOver(Exchange exchange) {
-        if (exchange.over() && exchange.out == 0 && open.remove(exchange.id) != null
-                && --exchange.tenure.taken == 0) {
+        if (!exchange.over() || exchange.out > 0) {
+            return;
+        }
+        exchange.release();
+        if (open.remove(exchange.id) != null && --exchange.tenure.taken == 0) {
             earlier.remove(exchange.tenure);
         }
     }
--- a/src/main/java/trestlegrade/sidecar/Exchange.java
+++ b/src/main/java/trestlegrade/sidecar/Exchange.java
@@ -1,5 +1,6 @@
 package trestlegrade.sidecar;
 
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
@@ -13,7 +14,8 @@
         /** Whether it has left, so that no answer can reach it. */
         boolean gone();
 
-        void committed(MultiMap head, Buffer body);
+        /** Done once the body is written, or can no longer be. */
+        Future<Void> committed(MultiMap head, Buffer body);
 
         /** No effect: trying again is harmless, after the pause (tenths of a millisecond) if not 0. */
         void rolledBack(long pause);
@@ -39,6 +41,7 @@
     /** Under which it was taken; it ends under the same. */
     Desk.Tenure tenure;
     private final Client client;
+    private BodyMemory.Claim claim;
     private boolean over;
 
     Exchange(String method, String uri, MultiMap head, Buffer body, int profile, boolean repeatable, int customer,
@@ -66,10 +69,23 @@
         return !over && !client.gone();
     }
 
-    void commit(MultiMap answerHead, Buffer answer, Counters counters) {
-        if (ends(counters)) {
-            counters.committed++;
-            client.committed(answerHead, answer);
+    /** Done once the answer takes no more memory here. */
+    Future<Void> commit(MultiMap answerHead, Buffer answer, Counters counters) {
+        if (!ends(counters)) {
+            return Future.succeededFuture();
+        }
+        counters.committed++;
+        return client.committed(answerHead, answer);
+    }
+
+    /** Its body's memory, which it holds until it is over and no attempt is out. */
+    void holds(BodyMemory.Claim memory) {
+        claim = memory;
+    }
+
+    void release() {
+        if (claim != null) {
+            claim.release();
         }
     }
 
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/src/main/java/trestlegrade/sidecar/Front.java
@@ -42,6 +42,7 @@
     private Map<String, Integer> profiles;
     private Map<String, Integer> customers;
     private final Clients clients;
+    private final BodyMemory bodies = BodyMemory.ofHeap(REQUESTS);
     /** The ids of the transactions that are open. */
     private final Set<String> traces = new HashSet<>();
     private final HttpServer server;
@@ -71,9 +72,10 @@
         }
 
         @Override
-        public void committed(MultiMap head, Buffer answer) {
+        public Future<Void> committed(MultiMap head, Buffer answer) {
             response.headers().addAll(head);
             answer(200, answer);
+            return connection.written();
         }
 
         @Override
@@ -206,6 +208,14 @@
         return traces.size();
     }
 
+    // Of the heap; as much is for the bodies of answers.
+    private static final double REQUESTS = 0.3;
+
+    /** Bytes that the bodies of requests hold, from their first byte until no attempt needs them. */
+    long bodyBytes() {
+        return bodies.held();
+    }
+
     /** Connections of the application that are open now. */
     int connections() {
         return clients.count();
@@ -235,16 +245,20 @@
     }
 
     private void read(HttpServerRequest request, Connection client) {
-        client.reads(request.response(), clock.now());
+        BodyMemory.Claim memory = bodies.claim();
+        client.reads(request.response(), memory, clock.now());
         Buffer body = Buffer.buffer();
         request.handler(part -> {
             if (!client.reading()) {
                 return;
             }
-            if (body.length() + part.length() <= LONGEST_BODY) {
-                body.appendBuffer(part);
+            int length = body.length() + part.length();
+            if (length > LONGEST_BODY) {
+                refuseUnread(request, client, 413, "oversized");
+            } else if (!memory.grow(length)) {
+                refuseUnread(request, client, 503, "no-memory");
             } else {
-                oversized(request, client);
+                body.appendBuffer(part);
             }
         });
         request.exceptionHandler(e -> {
@@ -265,7 +279,7 @@
         if (request.headers().contains("Transfer-Encoding") && request.headers().contains("Content-Length")) {
             reject(request, client, 400, "malformed");
         } else if (Heads.length(request.getHeader("Content-Length")) > LONGEST_BODY) {
-            oversized(request, client);
+            refuseUnread(request, client, 413, "oversized");
         }
     }
 
@@ -348,11 +362,11 @@
     }
 
     /** The rest of the body is read and dropped for a while, and only then this side ends. */
-    private void oversized(HttpServerRequest request, Connection client) {
-        client.reason = "oversized";
-        counters.rejected(413);
-        client.send(request.response(), 413, NOTHING, clock.now());
-        vertx.setTimer(DROPPING, t -> client.close("oversized"));
+    private void refuseUnread(HttpServerRequest request, Connection client, int status, String code) {
+        client.reason = code;
+        counters.rejected(status);
+        client.send(request.response(), status, NOTHING, clock.now());
+        vertx.setTimer(DROPPING, t -> client.close(code));
     }
 
     // Milliseconds; a client on the same machine has sent a hundred megabytes by then.
--- a/src/main/java/trestlegrade/sidecar/PooledConnection.java
+++ b/src/main/java/trestlegrade/sidecar/PooledConnection.java
@@ -97,6 +97,10 @@
                     owner.spoilt(attempt, "oversized");
                     return;
                 }
+                if (!attempt.memory.grow(body.length() + content.content().readableBytes())) {
+                    owner.spoilt(attempt, "no-memory");
+                    return;
+                }
                 body.appendBuffer(BufferInternal.buffer(content.content()));
                 if (part instanceof LastHttpContent) {
                     attempt.answer = body;
--- a/src/main/java/trestlegrade/sidecar/Rehearsal.java
+++ b/src/main/java/trestlegrade/sidecar/Rehearsal.java
@@ -106,8 +106,9 @@
     }
 
     @Override
-    public void committed(MultiMap head, Buffer answer) {
+    public Future<Void> committed(MultiMap head, Buffer answer) {
         next();
+        return Future.succeededFuture();
     }
 
     @Override
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -165,6 +165,8 @@
         counters.gauge("decided_on", desk::decidedOn);
         counters.gauge("settings_in_use", desk::settingsInUse);
         counters.gauge("open_ids", front::openIds);
+        counters.gauge("request_body_kb", () -> front.bodyBytes() >> 10);
+        counters.gauge("answer_body_kb", () -> attempts.answerBytes() >> 10);
         counters.gauge("clients", front::connections);
         counters.gauge("pooled", attempts::connections);
         counters.gauge("list_version", discovery::version);
--- a/src/main/java/trestlegrade/sidecar/Naps.java
+++ b/src/main/java/trestlegrade/sidecar/TimerRoundingIoHandler.java
@@ -14,13 +14,13 @@
  * selector costs more than the clock moves on (each is a trap on the fleet days), a loop whose timers happened to fall
  * so never rested (docs/incidents). Here what is left is rounded up: a timer comes a millisecond late at the most.
  */
-final class Naps implements IoHandler {
+final class TimerRoundingIoHandler implements IoHandler {
     private static final long MILLISECOND = 1_000_000;
 
     private final IoHandler usual;
     private final Counters.Turns turns;
 
-    private Naps(IoHandler usual, Counters.Turns turns) {
+    private TimerRoundingIoHandler(IoHandler usual, Counters.Turns turns) {
         this.usual = usual;
         this.turns = turns;
     }
@@ -29,7 +29,7 @@
         return new IoHandlerFactory() {
             @Override
             public IoHandler newHandler(ThreadAwareExecutor executor) {
-                return new Naps(usual.newHandler(executor), turns);
+                return new TimerRoundingIoHandler(usual.newHandler(executor), turns);
             }
 
             @Override
--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -82,6 +82,17 @@
         assertEquals(0, desk.balance.server(1_199).failedInRow);
     }
 
+    /** The clock here stepped back by an hour: a server that starts is cold from now on, and warm in its time. */
+    @Test
+    void aStartInTheFutureIsOneAtThisMoment() {
+        Desk desk = new Desk().fleet(State.READY, 0);
+        desk.traffic(100_000, -1, null, 0);
+        desk.list(100, State.READY, desk.now + 36_000_000);
+        assertTrue(desk.traffic(20_000, 100, Outcome.COMMITTED, 200) < 50);
+        desk.traffic(250_000, 100, Outcome.COMMITTED, 200);
+        assertTrue(desk.traffic(100_000, 100, Outcome.COMMITTED, 200) > 350);
+    }
+
     /** However it is given up, nothing of a transaction is held once it has its answer and no attempt is out. */
     @ParameterizedTest
     @ValueSource(strings = {"DRAINING", "COLD", "FAILED"})
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/BodyMemoryIT.java
@@ -0,0 +1,56 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
+
+/** More bodies at once than the heap can hold: each request has its answer, and what is refused was not forwarded. */
+@Isolated("holds some hundred threads and connections")
+class BodyMemoryIT extends Loopback {
+    private static final int CLIENTS = 480;
+
+    private static String posted(int id) {
+        String body = "x".repeat(Front.LONGEST_BODY);
+        return "POST /post-charge HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t" + id + "\r\nX-Expires-In: 39000m\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Test
+    void theLargestBodiesAtOnce() throws Exception {
+        Gate gate = new Gate();
+        Stub endpoint = endpoint(r -> {
+            gate.pass();
+            return answer(200, "", "y".repeat(Front.LONGEST_BODY));
+        });
+        patient();
+        serve();
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        opened.add(clients::shutdownNow);
+        List<Future<String>> answers = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            int id = i;
+            answers.add(clients.submit(() -> client().ask(posted(id))));
+        }
+        eventually(() -> counters().getLong("taken", 0L) + answers.stream().filter(Future::isDone).count() >= CLIENTS);
+        gate.open();
+        int committed = 0;
+        for (int i = 0; i < CLIENTS; i++) {
+            String got = answers.get(i).get();
+            boolean served = got.startsWith("HTTP/1.1 200 ");
+            committed += served ? 1 : 0;
+            assertTrue(served || got.startsWith("HTTP/1.1 503 "), got.substring(0, Math.min(60, got.length())));
+            assertEquals(served, endpoint.saw("t" + i), "t" + i);
+        }
+        assertTrue(committed > CLIENTS / 2 && committed < CLIENTS, committed + " committed");
+        assertTrue(counters().getJsonObject("connections_ended").getLong("client:no-memory", 0L) > 50);
+        eventually(() -> counters().getJsonObject("now").getLong("request_body_kb") == 0
+                && counters().getJsonObject("now").getLong("answer_body_kb") == 0);
+    }
+}
--- a/src/test/java/trestlegrade/sidecar/StaleListIT.java
+++ b/src/test/java/trestlegrade/sidecar/StaleListIT.java
@@ -170,6 +170,7 @@
         assertTrue(reached.size() > before, "served through the outage");
         drain();
         Stub back = new Stub(StaleListIT::refuseInTurn, place);
+        back.beats = false;
         opened.add(back);
         stopsBy(millis() + TOLD_MS + GRACE_MS);
         servesAgain(back);
@@ -181,6 +182,7 @@
         serve();
         discovery.line(list(8, false));
         Stub elsewhere = new Stub(StaleListIT::refuseInTurn);
+        elsewhere.beats = false;
         opened.add(elsewhere);
         send();
         pause(200);
--- a/src/test/java/trestlegrade/sidecar/NapsTest.java
+++ b/src/test/java/trestlegrade/sidecar/TimerRoundingIoHandlerTest.java
@@ -11,14 +11,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class NapsTest {
+class TimerRoundingIoHandlerTest {
 
     /** Nanoseconds until the next timer, and what the selector is told. */
     @ParameterizedTest
     @CsvSource({"0, 0", "-5, -5", "1, 1000000", "499999, 1000000", "1000000, 1000000", "1000001, 2000000",
         "9400000, 10000000", "9223372036854775807, 9223372036854775807", "9223372036854775000, 9223372036854775000"})
     void roundsUpToWholeMilliseconds(long delay, long told) {
-        assertEquals(told, Naps.wholeMilliseconds(delay));
+        assertEquals(told, TimerRoundingIoHandler.wholeMilliseconds(delay));
     }
 
     /**
@@ -28,7 +28,7 @@
     @Test
     void sleepsUntilATimerIsDue() throws Exception {
         Counters.Turns turns = new Counters.Turns();
-        EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, Naps.over(NioIoHandler.newFactory(), turns));
+        EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, TimerRoundingIoHandler.over(NioIoHandler.newFactory(), turns));
         try {
             loop.submit(() -> { }).get();
             long before = turns.all();
