Tests: the start in the future is told from what the list says of it

Cause: RulesTest.aStartInTheFuture passed with its repair taken out, for what a server is seen to commit lifts its budget within seconds; it could not fail. Replaced by one that looks at when the warming began, also when the start is told again.

--- a/src/test/java/trestlegrade/RulesTest.java
+++ b/src/test/java/trestlegrade/RulesTest.java
@@ -86,11 +86,14 @@
     @Test
     void aStartInTheFutureIsOneAtThisMoment() {
         Desk desk = new Desk().fleet(State.READY, 0);
-        desk.traffic(100_000, -1, null, 0);
         desk.list(100, State.READY, desk.now + 36_000_000);
-        assertTrue(desk.traffic(20_000, 100, Outcome.COMMITTED, 200) < 50);
-        desk.traffic(250_000, 100, Outcome.COMMITTED, 200);
-        assertTrue(desk.traffic(100_000, 100, Outcome.COMMITTED, 200) > 350);
+        assertEquals(desk.now, desk.balance.server(100).coldSince);
+        // Told once more, it has not started again.
+        long started = desk.now;
+        desk.pass(50_000);
+        desk.list(100, State.READY, started + 36_000_000);
+        assertEquals(started, desk.balance.server(100).coldSince);
+        assertEquals(0, desk.balance.server(101).coldSince);
     }
 
     /** However it is given up, nothing of a transaction is held once it has its answer and no attempt is out. */
