Tests: the line that says ready is waited for, as it is written on the log's thread

Traced: its log has all lines up to health calls and no ready line yet; Sidecar.start calls front.ready() and hands the line to the log's thread behind it, and the test read the log in that moment. Change: the test waits for the same line; it is still wanted.

--- a/src/test/java/trestlegrade/sidecar/ServeIT.java
+++ b/src/test/java/trestlegrade/sidecar/ServeIT.java
@@ -36,8 +36,8 @@
         Stub endpoint = endpoint(r -> answer(200, "Content-Type: text/x-own\r\nKeep-Alive: timeout=5\r\n",
                 "served \u00e9\n"));
         serve();
-        String log = Files.readString(dir.resolve("log"));
-        assertTrue(log.matches("(?s).*code=ready rehearsed=[1-9]\\d* .*"), log);
+        // The log is written on a thread of its own, behind the moment at which the sidecar calls itself healthy.
+        eventually(() -> log().matches("(?s).*code=ready rehearsed=[1-9]\\d* .*"));
         assertEquals(List.of(), endpoint.seen);
         assertEquals(0, counters().getLong("taken"));
         String body = "x".repeat(64 << 10);
