A stall is over once the sockets are read, not after 50 ms; tests measure by a stopwatch

The selector of a stopped process is interrupted when it goes on, so timers run before the sockets are read; that there had been a stall was forgotten one pulse's time later, and on a busy machine the sockets were read behind that. Now it is kept until the loop has read twice.

--- a/src/main/java/trestlegrade/sidecar/Clock.java
+++ b/src/main/java/trestlegrade/sidecar/Clock.java
@@ -1,7 +1,7 @@
 package trestlegrade.sidecar;
 
 /** Time in tenths of a millisecond: Unix time as it stood at the start, counted on without steps. */
-final class Clock {
+class Clock {
     private final long base = System.currentTimeMillis() * 10 - System.nanoTime() / 100_000;
 
     long now() {
--- a/src/main/java/trestlegrade/sidecar/Lateness.java
+++ b/src/main/java/trestlegrade/sidecar/Lateness.java
@@ -21,6 +21,9 @@
     private long latestAt;
     private long worst;
     private long worstAt;
+    /** How long the latest stall was, until the sockets have been read behind it; 0 then. */
+    private long backlog;
+    private long stalls;
 
     Lateness(Vertx vertx, Clock clock, Histogram seen) {
         this.vertx = vertx;
@@ -42,9 +45,26 @@
             worst = behind;
             worstAt = now;
         }
+        if (behind > STALL) {
+            keepUntilRead(behind);
+        }
         last = now;
     }
 
+    /**
+     * The first timer after a stall may run before anything is read: the system interrupts the selector when a stopped
+     * process goes on. How long the loop takes from there to its sockets is not bounded (on a busy machine over 50 ms).
+     */
+    private void keepUntilRead(long behind) {
+        backlog = Math.max(backlog, behind);
+        long stall = ++stalls;
+        afterReading(() -> {
+            if (stall == stalls) {
+                backlog = 0;
+            }
+        });
+    }
+
     /** The worst of late, halved for each second since, or of the turn under way. */
     long now() {
         long now = clock.now();
@@ -57,7 +77,8 @@
      */
     long unread() {
         long now = clock.now();
-        return Math.max(now - last - PULSE, now - latestAt < PULSE ? latest : 0);
+        long recent = Math.max(backlog, now - latestAt < PULSE ? latest : 0);
+        return Math.max(now - last - PULSE, recent);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/Stopwatch.java
@@ -0,0 +1,40 @@
+package trestlegrade.sidecar;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Measures time without that during which the machine stood still: a thread that only sleeps was late by so much. On a
+ * machine that keeps time it measures real time.
+ */
+final class Stopwatch {
+    private static final long TICK = 5_000_000;
+    /** Later than this by the scheduler alone is usual nowhere. */
+    private static final long USUAL = 10_000_000;
+    private static final AtomicLong STOOD_STILL = new AtomicLong();
+
+    static {
+        Thread ticker = new Thread(Stopwatch::tick, "machine-lateness");
+        ticker.setDaemon(true);
+        ticker.start();
+    }
+
+    private final long begun = System.nanoTime();
+    private final long stoodStillBefore = STOOD_STILL.get();
+
+    private static void tick() {
+        long last = System.nanoTime();
+        while (true) {
+            Loopback.pause(TICK / 1_000_000);
+            long now = System.nanoTime();
+            long late = now - last - TICK;
+            if (late > USUAL) {
+                STOOD_STILL.addAndGet(late);
+            }
+            last = now;
+        }
+    }
+
+    long milliseconds() {
+        return (System.nanoTime() - begun - (STOOD_STILL.get() - stoodStillBefore)) / 1_000_000;
+    }
+}
