Failed accepts are tried again after 10 ms, and interrupted reads are no end of stream

Cause: the library rests for a second behind any accept that fails, and takes the -3 by which the runtime tells an interrupted read for the stream's end. Found by a shim that makes system calls of the built program fail (LD_PRELOAD, drawn from a seed): ten clients whose accept failed for 0.4 s were answered 609 to 624 ms after it worked again, for EMFILE, ENFILE, ENOBUFS and ENOMEM; with reads interrupted, connections were closed with no answer.

--- a/src/main/java/trestlegrade/sidecar/BoundedTransport.java
+++ b/src/main/java/trestlegrade/sidecar/BoundedTransport.java
@@ -8,8 +8,11 @@
 import io.netty.channel.socket.InternetProtocolFamily;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vertx.core.transport.Transport;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Vert.x's usual transport, but its loop sleeps between timers ({@link TimerRoundingIoHandler}), and its listener accepts no
@@ -20,11 +23,14 @@
     private final io.vertx.core.spi.transport.Transport usual = Transport.NIO.implementation();
     private final Descriptors descriptors;
     private final Counters.Turns turns;
+    private final Consumer<IOException> acceptFailed;
     private volatile Listener listener;
 
-    BoundedTransport(Descriptors descriptors, Counters.Turns turns) {
+    /** {@code acceptFailed} is told of each accept that the system refuses, on the loop of the listener. */
+    BoundedTransport(Descriptors descriptors, Counters.Turns turns, Consumer<IOException> acceptFailed) {
         this.descriptors = descriptors;
         this.turns = turns;
+        this.acceptFailed = acceptFailed;
     }
 
     /** As Vert.x's builder takes it. */
@@ -67,7 +73,12 @@
     }
 
     private final class Listener extends NioServerSocketChannel {
+        /** Milliseconds until the next try behind an accept that failed: neither a spinning loop nor a late answer. */
+        private static final long ACCEPT_RETRY = 10;
+
         private int letIn;
+        /** Whether the latest accept failed, so that somebody may wait in the queue. */
+        private boolean failing;
 
         Listener() {
             // One at a time, so that each is counted before the next is accepted.
@@ -83,7 +94,7 @@
             boolean full = descriptors.full();
             // The loop looks at its sockets between two timers that follow each other.
             eventLoop().schedule(() -> eventLoop().schedule(() -> {
-                if (before == letIn && !full && !descriptors.full() || clock.now() >= lastMoment) {
+                if (before == letIn && !full && !failing && !descriptors.full() || clock.now() >= lastMoment) {
                     close().addListener(closed -> then.run());
                 } else {
                     drain(clock, lastMoment, then);
@@ -101,14 +112,34 @@
                 }
                 config().setAutoRead(true);
             }
-            int before = accepted.size();
-            int count = super.doReadMessages(accepted);
-            for (Object each : accepted.subList(before, accepted.size())) {
-                descriptors.take();
-                letIn++;
-                ((Channel) each).closeFuture().addListener(closed -> descriptors.giveBack());
+            SocketChannel client;
+            try {
+                client = javaChannel().accept();
+            } catch (IOException e) {
+                retryLater(e);
+                return 0;
+            }
+            failing = false;
+            if (client == null) {
+                return 0;
             }
-            return count;
+            descriptors.take();
+            letIn++;
+            Channel connection = new InterruptibleSocketChannel(this, client);
+            connection.closeFuture().addListener(closed -> descriptors.giveBack());
+            accepted.add(connection);
+            return 1;
+        }
+
+        /**
+         * Out of descriptors or of buffers, in this process or in the whole system (EMFILE, ENFILE, ENOBUFS, ENOMEM). Left
+         * to the library, the listener would not accept for a second, longer than many clients wait.
+         */
+        private void retryLater(IOException cause) {
+            failing = true;
+            acceptFailed.accept(cause);
+            config().setAutoRead(false);
+            eventLoop().schedule(() -> config().setAutoRead(true), ACCEPT_RETRY, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -119,7 +150,7 @@
 
     @Override
     public ChannelFactory<? extends Channel> channelFactory(boolean domainSocket) {
-        return usual.channelFactory(domainSocket);
+        return domainSocket ? usual.channelFactory(true) : InterruptibleSocketChannel::new;
     }
 
     @Override
--- a/src/main/java/trestlegrade/sidecar/Counters.java
+++ b/src/main/java/trestlegrade/sidecar/Counters.java
@@ -1,6 +1,7 @@
 package trestlegrade.sidecar;
 
 import io.vertx.core.json.JsonObject;
+import java.io.IOException;
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
@@ -46,6 +47,10 @@
     long badLines;
     long badEntries;
     long leasesExpired;
+    /** The listener has a thread of its own. */
+    private final LongAdder acceptsFailed = new LongAdder();
+    private volatile long acceptFailureLogged = System.nanoTime() - ACCEPT_FAILURES_LOGGED_EVERY;
+    private static final long ACCEPT_FAILURES_LOGGED_EVERY = 1_000_000_000;
     /** Tenths of a millisecond, to two digits up to a minute. */
     final Histogram attemptTook = new Histogram(600_000, 2);
     final Histogram loopLate = new Histogram(600_000, 2);
@@ -67,6 +72,18 @@
         rejected.merge(status, 1L, Long::sum);
     }
 
+    /** The system refused to let a client in; it waits in the listener's queue. */
+    void acceptFailed(IOException cause) {
+        acceptsFailed.increment();
+        long now = System.nanoTime();
+        if (now - acceptFailureLogged < ACCEPT_FAILURES_LOGGED_EVERY) {
+            return;
+        }
+        acceptFailureLogged = now;
+        long failed = acceptsFailed.sum();
+        log.add(() -> Logger.warn("client code=accept-failed cause={} failed_so_far={}", cause.getMessage(), failed));
+    }
+
     /** One connection has ended: counted, and told in one line of the log. */
     void ended(String side, String code, String peer, int carried, long openTenths) {
         connectionsEnded.merge(side + ":" + code, 1L, Long::sum);
@@ -105,7 +122,7 @@
                 .put("no_descriptor", noDescriptor).put("connections_ended", codes)
                 .put("list_lines", listLines).put("watches", watches).put("list_lines_bad", badLines)
                 .put("list_entries_bad", badEntries)
-                .put("list_expired", leasesExpired)
+                .put("list_expired", leasesExpired).put("accepts_failed", acceptsFailed.sum())
                 .put("loop_turns", turns.all()).put("loop_turns_idle", turns.idle.sum())
                 .put("refused", refusals.report()).put("now", gauges()).put("log_lines_dropped", log.dropped())
                 .put("attempt_ms", milliseconds(attemptTook)).put("loop_late_ms", milliseconds(loopLate));
--- a/src/main/java/trestlegrade/sidecar/Sidecar.java
+++ b/src/main/java/trestlegrade/sidecar/Sidecar.java
@@ -38,7 +38,7 @@
         inForce = commission;
         this.environment = environment;
         clients = Descriptors.forClients(commission.sockets());
-        transport = new BoundedTransport(clients, counters.turns);
+        transport = new BoundedTransport(clients, counters.turns, counters::acceptFailed);
     }
 
     /** Serves until told to end; false if it could not begin. */
--- a/src/test/java/trestlegrade/sidecar/BoundedTransportTest.java
+++ b/src/test/java/trestlegrade/sidecar/BoundedTransportTest.java
@@ -35,7 +35,7 @@
         for (int i = 0; i < descriptors.most(); i++) {
             descriptors.take();
         }
-        BoundedTransport transport = new BoundedTransport(descriptors, new Counters.Turns());
+        BoundedTransport transport = new BoundedTransport(descriptors, new Counters.Turns(), cause -> { });
         MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, transport.ioHandlerFactory());
         CountDownLatch ended = new CountDownLatch(1);
         try (Socket client = new Socket()) {
--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -17,6 +17,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -73,6 +74,8 @@
     boolean verbose;
     /** Whether the system holds the process to {@code sockets}, as the operators do. */
     boolean descriptorsBounded;
+    /** Further variables of the process. */
+    final Map<String, String> environment = new HashMap<>();
 
     void serve() throws Exception {
         start();
@@ -101,6 +104,7 @@
             builder.environment().put("JAVA_TOOL_OPTIONS", "-Xlog:class+load");
         }
         builder.environment().put("LB_CONFIG", config.toString());
+        builder.environment().putAll(environment);
         return builder.start();
     }
 
--- /dev/null
+++ b/src/test/java/trestlegrade/sidecar/SystemCallsIT.java
@@ -0,0 +1,163 @@
+package trestlegrade.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import trestlegrade.sidecar.SystemCallShim.Errno;
+import trestlegrade.sidecar.SystemCallShim.Field;
+
+/** The system calls of the process fail as their manual pages say: each request has its answer in time all the same. */
+class SystemCallsIT extends Loopback {
+    private final Stub endpoint = endpoint(r -> answer(200, "", "good"));
+    private SystemCallShim shim;
+
+    @BeforeEach
+    void preload() throws Exception {
+        shim = new SystemCallShim(dir, 20261202);
+        environment.putAll(shim.environment());
+        serve();
+    }
+
+    /** Clients whose connections wait in the listener's queue meanwhile are let in as soon as that is possible. */
+    @ParameterizedTest
+    @EnumSource(names = {"ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"})
+    void acceptFailsForAWhile(Errno errno) throws Exception {
+        shim.fail(Field.ACCEPT_ERRNO, Field.ACCEPT_RATE, errno, SystemCallShim.ALL);
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            clients.add(client());
+            clients.get(i).write(transaction("quote", "t" + i, 1_400));
+        }
+        pause(400);
+        shim.set(Field.ACCEPT_RATE, 0);
+        Stopwatch watch = new Stopwatch();
+        for (Client each : clients) {
+            assertTrue(each.read().startsWith("HTTP/1.1 200 "));
+        }
+        assertTrue(watch.milliseconds() < 300, "answered after " + watch.milliseconds() + " ms");
+        long tries = shim.get(Field.ACCEPT_DONE);
+        // The runtime itself tries again at once where a client has gone meanwhile.
+        assertTrue(errno == Errno.ECONNABORTED || tries > 3 && tries < 100, tries + " tries in 0.4 s");
+    }
+
+    /** No socket can be had for an attempt: refused at once, served again as soon as one can, and none is forgotten. */
+    @ParameterizedTest
+    @EnumSource(names = {"EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"})
+    void noSocketForAnAttempt(Errno errno) throws Exception {
+        answeredAtOnceAndServedAgain(Field.SOCKET_ERRNO, Field.SOCKET_RATE, Field.SOCKET_DONE, errno);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"EADDRNOTAVAIL", "ENETUNREACH", "ETIMEDOUT", "EHOSTUNREACH", "ENOBUFS"})
+    void connectFails(Errno errno) throws Exception {
+        answeredAtOnceAndServedAgain(Field.CONNECT_ERRNO, Field.CONNECT_RATE, Field.CONNECT_DONE, errno);
+    }
+
+    private void answeredAtOnceAndServedAgain(Field number, Field rate, Field done, Errno errno) throws Exception {
+        Client client = client();
+        shim.fail(number, rate, errno, SystemCallShim.ALL);
+        for (String profile : List.of("quote", "post-charge")) {
+            Stopwatch watch = new Stopwatch();
+            assertTrue(client.ask(transaction(profile, profile + errno, 1_400)).startsWith("HTTP/1.1 503 "));
+            assertTrue(watch.milliseconds() < 700, "refused after " + watch.milliseconds() + " ms");
+        }
+        assertTrue(shim.get(done) > 0);
+        shim.set(rate, 0);
+        eventually(() -> client.tries(transaction("quote", "u" + System.nanoTime(), 1_400)).startsWith("HTTP/1.1 200 "));
+        assertEquals(1, counters().getJsonObject("now").getLong("pooled"));
+    }
+
+    /** Every read and write moves one byte, and one call in four is interrupted. */
+    @Test
+    void shortAndInterruptedReadsAndWrites() throws Exception {
+        shim.set(Field.SHORT_RATE, SystemCallShim.ALL);
+        shim.set(Field.INTERRUPT_RATE, SystemCallShim.ALL / 4);
+        Client client = client();
+        for (int i = 0; i < 10; i++) {
+            String got = client.ask(transaction(i % 2 == 0 ? "quote" : "post-charge", "t" + i, 1_400));
+            assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("good"), got + counters().encode());
+        }
+        assertEquals(10, endpoint.seen.stream().filter(r -> r.contains("X-Trace-Id: t")).count());
+        assertTrue(shim.get(Field.INTERRUPT_DONE) > 100 && shim.get(Field.SHORT_DONE) > 1_000);
+    }
+
+    /** The system gives up connections that are open: in use or idle, the endpoint's and the client's. */
+    @ParameterizedTest
+    @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH"})
+    void openConnectionsBreak(Errno errno) throws Exception {
+        Gate gate = new Gate();
+        endpoint.answers = r -> {
+            gate.pass();
+            return answer(200, "", "good");
+        };
+        Client client = client();
+        client.write(transaction("post-charge", "t", 2_900));
+        eventually(() -> endpoint.saw("t"));
+        eventually(() -> counters().getLong("attempts_sent") == 1);
+        pause(100);
+        shim.fail(Field.TRANSFER_ERRNO, Field.TRANSFER_RATE, errno, SystemCallShim.NEXT);
+        gate.open();
+        String got = client.read();
+        assertTrue(got.startsWith("HTTP/1.1 502 "), got);
+        assertEquals(1, endpoint.seen.stream().filter(r -> "t".equals(header(r, "X-Trace-Id"))).count());
+        Client next = client();
+        eventually(() -> next.tries(transaction("quote", "u" + System.nanoTime(), 1_400)).startsWith("HTTP/1.1 200 "));
+        eventually(() -> counters().getJsonObject("now").getLong("transactions") == 0);
+    }
+
+    /** Written late, what an endpoint is told is still no more than what the client has left, with 0.15 s of slack. */
+    @Test
+    void heldUpBeforeEachWrite() throws Exception {
+        shim.set(Field.HOLD_MICROSECONDS, 150_000);
+        shim.set(Field.HOLD_RATE, SystemCallShim.ALL);
+        Client client = client();
+        long[] seenAt = {0};
+        endpoint.answers = r -> {
+            seenAt[0] = System.nanoTime();
+            return answer(200, "", "good");
+        };
+        for (int i = 0; i < 5; i++) {
+            String trace = "t" + i;
+            long asked = System.nanoTime();
+            String got = client.ask(transaction("quote", trace, 1_400));
+            assertTrue(got.startsWith("HTTP/1.1 "), got);
+            String request = endpoint.seen.get(endpoint.seen.size() - 1);
+            assertEquals(trace, header(request, "X-Trace-Id"));
+            long told = Heads.patience(header(request, "X-Expires-In")) / 10;
+            long left = 1_400 - (seenAt[0] - asked) / 1_000_000;
+            assertTrue(told <= left + 150, "told " + told + " ms with " + left + " ms left");
+        }
+    }
+
+    /** Deadlines, waits and graces are real time: of a step of the wall clock only the log's stamps tell. */
+    @ParameterizedTest
+    @ValueSource(longs = {-3_600, -5, 5, 3_600})
+    void theWallClockSteps(long seconds) throws Exception {
+        Client client = client();
+        endpoint.answers = r -> HANG;
+        client.write(transaction("quote", "t", 1_400));
+        eventually(() -> endpoint.saw("t"));
+        Stopwatch watch = new Stopwatch();
+        shim.set(Field.WALL_CLOCK_MICROSECONDS, seconds * 1_000_000);
+        assertTrue(client.read().startsWith("HTTP/1.1 503 "));
+        assertTrue(watch.milliseconds() > 500 && watch.milliseconds() < 1_450, "after " + watch.milliseconds() + " ms");
+        endpoint.answers = r -> answer(200, "", "good");
+        eventually(() -> client.tries(transaction("quote", "u" + System.nanoTime(), 1_400)).startsWith("HTTP/1.1 200 "));
+        eventually(() -> !discovery.seen.isEmpty());
+        discovery.line(list(8, false, entry(0, "leaving")));
+        eventually(() -> counters().getLong("list_lines") == 1);
+        int before = endpoint.seen.size();
+        assertTrue(client.ask(transaction("quote", "v", 300)).startsWith("HTTP/1.1 503 "));
+        assertEquals(before, endpoint.seen.size());
+        discovery.line(list(9, false, entry(0, "active")));
+        eventually(() -> client.tries(transaction("quote", "w" + System.nanoTime(), 1_400)).startsWith("HTTP/1.1 200 "));
+        assertEquals(1, discovery.seen.size(), "the watch was opened anew");
+    }
+}
