--- /dev/null
+++ b/lab/src/main/java/trestlegrade/lab/Lab.java
@@ -0,0 +1,26 @@
+package trestlegrade.lab;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+import trestlegrade.lab.soak.SoakCommand;
+
+/** The laboratory's command line. */
+@Command(name = "lab", mixinStandardHelpOptions = true, version = "trestlegrade lab 0.1.0",
+        description = "Experiments with the built program.", subcommands = SoakCommand.class)
+public final class Lab implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return CommandLine.ExitCode.USAGE;
+    }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Lab()).execute(args));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trestlegrade/lab/soak/Background.java
@@ -0,0 +1,50 @@
+package trestlegrade.lab.soak;
+
+import java.io.IOException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/** The threads of one run. A task ends when it returns, when its socket is closed, or with the run. */
+final class Background implements AutoCloseable {
+    private static final long STACK_BYTES = 256 << 10;
+
+    /** Work that waits on sockets or sleeps. */
+    interface Task {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
+        Thread thread = new Thread(null, work, "soak", STACK_BYTES);
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    void run(String name, Task task) {
+        if (threads.isShutdown()) {
+            return;
+        }
+        threads.execute(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The other side closed the socket, or the end of the run did.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (RuntimeException e) {
+                Logger.error(e, "soak code=task-failed task={}", name);
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        threads.shutdownNow();
+        try {
+            threads.awaitTermination(2, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trestlegrade/lab/soak/FaultProxy.java
@@ -0,0 +1,220 @@
+package trestlegrade.lab.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * A relay on loopback between a sidecar and one other place. It reads what the sidecar sends at once, whatever happens
+ * behind it, so that it knows when each byte left.
+ */
+final class FaultProxy implements AutoCloseable {
+    private static final int BACKLOG = 1_024;
+    private static final int CHUNK = 16 << 10;
+    private static final int PIECE = 7;
+
+    private final Background background;
+    private final int target;
+    private final int port;
+    /** By the port from which the relay connects to its target; ended ones stay, for what the target has yet to read. */
+    private final Map<Integer, Link> links = new ConcurrentHashMap<>();
+    private volatile ServerSocket listener;
+    private volatile long holdUpUntil;
+    private volatile long holdDownUntil;
+    private volatile int delayMilliseconds;
+    private volatile boolean pieces;
+    private volatile int resetEvery;
+    private int chunks;
+
+    FaultProxy(Background background, int target) throws IOException {
+        this.background = background;
+        this.target = target;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        port = listener.getLocalPort();
+        accept(listener);
+    }
+
+    /** One connection through the relay. */
+    static final class Link {
+        private final Socket near;
+        private final Socket far;
+        private final ByteTimes sent = new ByteTimes();
+        private volatile boolean closed;
+
+        private Link(Socket near, Socket far) {
+            this.near = near;
+            this.far = far;
+        }
+
+        /** When the byte at this place of what the sidecar sent reached the relay. */
+        long timeOf(long offset) {
+            return sent.timeOf(offset);
+        }
+
+        boolean closed() {
+            return closed;
+        }
+
+        private void close() {
+            closed = true;
+            closeQuietly(near);
+            closeQuietly(far);
+        }
+
+        private void reset() {
+            try {
+                near.setSoLinger(true, 0);
+            } catch (IOException e) {
+                // Closed already.
+            }
+            close();
+        }
+    }
+
+    int port() {
+        return port;
+    }
+
+    Link link(int farPort) {
+        return links.get(farPort);
+    }
+
+    /** Whether what comes from the target waits. */
+    boolean holdsAnswers() {
+        return System.nanoTime() < holdDownUntil;
+    }
+
+    void hold(boolean up, boolean down, long until) {
+        if (up) {
+            holdUpUntil = until;
+        }
+        if (down) {
+            holdDownUntil = until;
+        }
+    }
+
+    void delay(int milliseconds) {
+        delayMilliseconds = milliseconds;
+    }
+
+    void pieces(boolean on) {
+        pieces = on;
+    }
+
+    /** Each so manieth chunk that a sidecar sends ends its connection; 0 for none. */
+    void resetEvery(int chunk) {
+        resetEvery = chunk;
+    }
+
+    void resetAll() {
+        links.values().forEach(Link::reset);
+    }
+
+    /** Refuses connections from now on, or no longer. */
+    synchronized void refuse(boolean on) throws IOException {
+        if (on) {
+            listener.close();
+        } else if (listener.isClosed()) {
+            ServerSocket again = new ServerSocket();
+            again.setReuseAddress(true);
+            again.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+            listener = again;
+            accept(again);
+        }
+    }
+
+    private void accept(ServerSocket from) {
+        background.run("proxy", () -> {
+            while (true) {
+                Socket near = from.accept();
+                background.run("relay", () -> relay(near));
+            }
+        });
+    }
+
+    private void relay(Socket near) throws IOException, InterruptedException {
+        Socket far;
+        try {
+            far = new Socket(InetAddress.getLoopbackAddress(), target);
+        } catch (IOException e) {
+            near.setSoLinger(true, 0);
+            near.close();
+            return;
+        }
+        near.setTcpNoDelay(true);
+        far.setTcpNoDelay(true);
+        Link link = new Link(near, far);
+        links.put(far.getLocalPort(), link);
+        background.run("relay-down", () -> pump(link, far, near, false));
+        pump(link, near, far, true);
+    }
+
+    private void pump(Link link, Socket from, Socket to, boolean up) throws IOException, InterruptedException {
+        byte[] bytes = new byte[CHUNK];
+        try {
+            int count;
+            while ((count = from.getInputStream().read(bytes)) >= 0) {
+                if (up) {
+                    link.sent.add(count, System.nanoTime());
+                }
+                boolean resets = up && resetsNow();
+                if (resets && count % 2 == 0) {
+                    link.reset();
+                    return;
+                }
+                await(up);
+                write(to, bytes, count);
+                if (resets) {
+                    link.reset();
+                    return;
+                }
+            }
+            await(up);
+        } finally {
+            // Neither side ends its sending alone: the end of one is the end of the connection.
+            link.close();
+        }
+    }
+
+    private synchronized boolean resetsNow() {
+        return resetEvery > 0 && ++chunks % resetEvery == 0;
+    }
+
+    private void await(boolean up) throws InterruptedException {
+        if (delayMilliseconds > 0) {
+            Thread.sleep(delayMilliseconds);
+        }
+        while (System.nanoTime() < (up ? holdUpUntil : holdDownUntil)) {
+            Thread.sleep(5);
+        }
+    }
+
+    private void write(Socket to, byte[] bytes, int count) throws IOException, InterruptedException {
+        if (!pieces) {
+            to.getOutputStream().write(bytes, 0, count);
+            return;
+        }
+        for (int i = 0; i < count; i += PIECE) {
+            to.getOutputStream().write(bytes, i, Math.min(PIECE, count - i));
+            Thread.sleep(i < 10 * PIECE ? 1 : 0);
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // Closed already.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        links.values().forEach(Link::close);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trestlegrade/lab/soak/Recorder.java
@@ -0,0 +1,42 @@
+package trestlegrade.lab.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** Collects events from all threads of a run. */
+final class Recorder {
+    private static final long TICK_MILLISECONDS = 5;
+    /** Later than this a sleeping thread is on a busy machine alone. */
+    private static final long USUAL_LATENESS = 15_000_000;
+
+    private final ConcurrentLinkedQueue<Event> events = new ConcurrentLinkedQueue<>();
+
+    void add(Event event) {
+        events.add(event);
+    }
+
+    /** All events so far, by their time. */
+    List<Event> events() {
+        List<Event> sorted = new ArrayList<>(events);
+        sorted.sort(Comparator.comparingLong(Event::at));
+        return sorted;
+    }
+
+    /** Notes when the machine stands still, until the run ends. */
+    void watchMachine(Background background) {
+        background.run("machine-lateness", () -> {
+            long last = System.nanoTime();
+            while (true) {
+                Thread.sleep(TICK_MILLISECONDS);
+                long now = System.nanoTime();
+                long late = now - last - TICK_MILLISECONDS * 1_000_000;
+                if (late > USUAL_LATENESS) {
+                    add(new Event.MachineLate(now, late));
+                }
+                last = now;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trestlegrade/lab/soak/Shrinker.java
@@ -0,0 +1,41 @@
+package trestlegrade.lab.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Finds fewer faults of a plan that still break the same rule, by leaving out halves, quarters and so on. */
+final class Shrinker {
+    private final Path program;
+    private final Rule rule;
+    private int playsLeft;
+
+    Shrinker(Path program, Rule rule, int plays) {
+        this.program = program;
+        this.rule = rule;
+        playsLeft = plays;
+    }
+
+    Plan shrink(Plan plan) throws IOException, InterruptedException {
+        Plan smallest = plan;
+        for (int part = Math.max(1, plan.faults().size() / 2); part >= 1; part /= 2) {
+            for (int from = 0; from < smallest.faults().size() && playsLeft > 0;) {
+                List<Fault> fewer = new ArrayList<>(smallest.faults());
+                fewer.subList(from, Math.min(fewer.size(), from + part)).clear();
+                Plan smaller = smallest.with(fewer);
+                if (breaks(smaller)) {
+                    smallest = smaller;
+                } else {
+                    from += part;
+                }
+            }
+        }
+        return smallest;
+    }
+
+    private boolean breaks(Plan plan) throws IOException, InterruptedException {
+        playsLeft--;
+        return Soak.play(plan, program).breaches().stream().anyMatch(each -> each.rule() == rule);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/trestlegrade/lab/soak/StandInServer.java
@@ -0,0 +1,131 @@
+package trestlegrade.lab.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** A server of the sidecars' protocol, behind a relay of its own. What it answers names the request. */
+final class StandInServer implements AutoCloseable {
+    private static final int BACKLOG = 1_024;
+    private static final int ANSWERS_AFTER_MILLISECONDS = 12;
+    private static final int SECOND_ANSWER_AFTER_MILLISECONDS = 4;
+    /** One answer in so many is spoilt while answers are. */
+    private static final int SPOILT_ONE_IN = 3;
+
+    private final String name;
+    private final Background background;
+    private final Recorder recorder;
+    private final ServerSocket listener;
+    private final FaultProxy proxy;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private volatile boolean hangs;
+    private volatile boolean errs;
+    private volatile boolean spoils;
+    private volatile boolean answersTwice;
+    private volatile boolean turnsAway;
+
+    StandInServer(String name, Background background, Recorder recorder) throws IOException {
+        this.name = name;
+        this.background = background;
+        this.recorder = recorder;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        proxy = new FaultProxy(background, listener.getLocalPort());
+        background.run("server", () -> {
+            while (true) {
+                Socket socket = listener.accept();
+                open.add(socket);
+                background.run("server-connection", () -> serve(socket));
+            }
+        });
+    }
+
+    String name() {
+        return name;
+    }
+
+    FaultProxy proxy() {
+        return proxy;
+    }
+
+    void hangs(boolean on) {
+        hangs = on;
+    }
+
+    void errs(boolean on) {
+        errs = on;
+    }
+
+    void spoils(boolean on) {
+        spoils = on;
+    }
+
+    void answersTwice(boolean on) {
+        answersTwice = on;
+    }
+
+    /** Whether it tells that it never began, as one that drains does. */
+    void turnsAway(boolean on) {
+        turnsAway = on;
+    }
+
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            HttpMessage.Reader reader = new HttpMessage.Reader(new BufferedInputStream(socket.getInputStream()));
+            HttpMessage request;
+            while ((request = reader.next()) != null) {
+                FaultProxy.Link link = proxy.link(socket.getPort());
+                String id = request.field("x-trace-id");
+                if (link == null || id == null) {
+                    return;
+                }
+                recorder.add(new Event.AttemptSeen(link.timeOf(request.begins()), id, name,
+                        HttpMessage.span(request.field("x-expires-in"))));
+                if (!answer(socket, id)) {
+                    return;
+                }
+            }
+        } finally {
+            open.remove(socket);
+        }
+    }
+
+    /** Whether the connection goes on. */
+    private boolean answer(Socket socket, String id) throws IOException, InterruptedException {
+        if (turnsAway) {
+            socket.getOutputStream().write(HttpMessage.answer(503, "X-Never-Ran: 1\r\n", ""));
+            return true;
+        }
+        recorder.add(new Event.AttemptRun(System.nanoTime(), id, name));
+        while (hangs) {
+            Thread.sleep(ANSWERS_AFTER_MILLISECONDS);
+        }
+        Thread.sleep(ThreadLocalRandom.current().nextInt(2 * ANSWERS_AFTER_MILLISECONDS));
+        if (spoils && ThreadLocalRandom.current().nextInt(SPOILT_ONE_IN) == 0) {
+            socket.getOutputStream().write(HttpMessage.answer(200, "", id).length > 0 && ThreadLocalRandom.current().nextBoolean()
+                    ? "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nhalf".getBytes() : "what is this?\r\n\r\n".getBytes());
+            return false;
+        }
+        byte[] answer = HttpMessage.answer(errs ? 500 : 200, "", id + "|" + name);
+        socket.getOutputStream().write(answer);
+        if (answersTwice) {
+            Thread.sleep(SECOND_ANSWER_AFTER_MILLISECONDS);
+            socket.getOutputStream().write(answer);
+        }
+        return true;
+    }
+
+    @Override
+    public void close() throws IOException {
+        proxy.close();
+        listener.close();
+        for (Socket each : open) {
+            each.close();
+        }
+    }
+}
--- a/src/test/c/system-call-shim.c
+++ b/lab/src/main/resources/system-call-shim.c
@@ -1,6 +1,6 @@
 /*
  * Makes system calls of one process fail, break off early or take long, as the Linux manual pages document. Loaded by
- * LD_PRELOAD; SHIM_CONTROL names a file of 64-bit words which both sides map: the test writes what is to fail and how
+ * LD_PRELOAD; SHIM_CONTROL names a file of 64-bit words which both sides map: the other side writes what is to fail and how
  * often, in thousandths of the calls, and this side counts what it has done. Random draws come from the seed in the file,
  * so they do not depend on time; threads share one sequence.
  *
--- /dev/null
+++ b/lab/src/test/java/trestlegrade/lab/soak/AuditorTest.java
@@ -0,0 +1,109 @@
+package trestlegrade.lab.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** One breach of each rule among ten thousand requests that keep all of them is found, by its id; without it there is none. */
+class AuditorTest {
+    private static final long MS = 1_000_000;
+    private static final int REQUESTS = 10_000;
+    private static final long GAP = MS;
+    /** When the planted request is sent. */
+    private static final long AT = 5_000 * GAP;
+
+    static Stream<Arguments> breaches() {
+        return Stream.of(
+                planted(Rule.ANSWER, read(), new Event.NoAnswer(AT + 2_500 * MS, "x")),
+                planted(Rule.ANSWER, read(), seen(2, 900), ran(3), answered(1_600, 200)),
+                planted(Rule.ANSWER, read(), seen(2, 900), new Event.ConnectionLost(AT + 9 * MS, "x", "closed")),
+                planted(Rule.ANSWER, read(), new Event.AnswerBroken(AT + 9 * MS, "x", "half")),
+                planted(Rule.FOREIGN_ANSWER, read(), seen(2, 900), ran(3), new Event.AnswerRead(AT + 9 * MS, "x", 200, "y|s")),
+                planted(Rule.SENT_AFTER_ANSWER, read(), answered(10, 503), seen(100, 800)),
+                planted(Rule.SENT_AFTER_CLOSE, read(), new Event.ClientClosed(AT + 5 * MS, "x"), seen(120, 800)),
+                planted(Rule.DUPLICATE, write(), seen(2, 900), ran(3), seen(20, 900), ran(21), answered(30, 200)),
+                planted(Rule.REFUSED_AFTER_RUN, write(), seen(2, 900), ran(3), answered(30, 503)),
+                planted(Rule.DRAIN, leaves(-1_200), told(-1_100), read(), seen(2, 900), ran(3), answered(9, 200)),
+                planted(Rule.DRAIN, leaves(-7_200), read(), seen(2, 900), ran(3), answered(9, 200)),
+                planted(Rule.DEADLINE_TOLD, read(), seen(200, 980), ran(201), answered(220, 200)),
+                planted(Rule.HALF_REQUEST, new Event.HalfRequestEnded(AT, "n0", 4_000 * MS)),
+                planted(Rule.PROCESS, new Event.ProcessEnded(AT, "n0", 3, false)),
+                planted(Rule.PROCESS, new Event.ProcessEnded(AT, "n0", 1, true)),
+                planted(Rule.PROCESS, new Event.NeverReady(AT, "n0")));
+    }
+
+    /** What looks alike and is allowed. */
+    static Stream<Arguments> allowed() {
+        return Stream.of(
+                planted(null, read(), seen(2, 900), ran(3), answered(1_480, 200)),
+                planted(null, new Event.RequestSent(AT, "x", "n0", true, AT + 1_000 * MS, true),
+                        new Event.ConnectionLost(AT + 9 * MS, "x", "closed")),
+                planted(null, read(), new Event.ClientClosed(AT + 5 * MS, "x"), seen(90, 800)),
+                planted(null, leaves(-1_200), told(-1_000), read(), seen(2, 900), ran(3), answered(9, 200)),
+                planted(null, leaves(-9_000), told(-8_000), new Event.ServerReturns(AT - 500 * MS, "s"), read(), seen(2, 900),
+                        ran(3), answered(9, 200)),
+                planted(null, leaves(-8_000), new Event.DiscoveryDown(AT - 8_500 * MS),
+                        new Event.DiscoveryUp(AT - 3_000 * MS), read(), seen(2, 900), ran(3), answered(9, 200)),
+                planted(null, new Event.Excused(AT - MS, "n0", AT + 3_000 * MS, "paused"), read(),
+                        new Event.NoAnswer(AT + 2_500 * MS, "x")));
+    }
+
+    private static Arguments planted(Rule rule, Event... events) {
+        return Arguments.of(rule, List.of(events));
+    }
+
+    private static Event read() {
+        return new Event.RequestSent(AT, "x", "n0", true, AT + 1_000 * MS, false);
+    }
+
+    private static Event write() {
+        return new Event.RequestSent(AT, "x", "n0", false, AT + 1_000 * MS, false);
+    }
+
+    private static Event seen(long after, long told) {
+        return new Event.AttemptSeen(AT + after * MS, "x", "s", told * MS);
+    }
+
+    private static Event ran(long after) {
+        return new Event.AttemptRun(AT + after * MS, "x", "s");
+    }
+
+    private static Event answered(long after, int status) {
+        return new Event.AnswerRead(AT + after * MS, "x", status, status == 200 ? "x|s" : "");
+    }
+
+    private static Event leaves(long after) {
+        return new Event.ServerLeaves(AT + after * MS, "s");
+    }
+
+    private static Event told(long after) {
+        return new Event.LeaveTold(AT + after * MS, "n0", "s");
+    }
+
+    @ParameterizedTest
+    @MethodSource({"breaches", "allowed"})
+    void aPlantedBreachIsFoundByItsId(Rule rule, List<Event> planted) {
+        List<Event> events = new ArrayList<>(planted);
+        for (int i = 0; i < REQUESTS; i++) {
+            long at = i * GAP;
+            String id = "r" + i;
+            events.add(new Event.RequestSent(at, id, "n0", i % 3 > 0, at + 1_000 * MS, true));
+            events.add(new Event.AttemptSeen(at + MS, id, "other", 990 * MS));
+            events.add(new Event.AttemptRun(at + 2 * MS, id, "other"));
+            events.add(new Event.AnswerRead(at + 20 * MS, id, 200, id + "|other"));
+        }
+        events.sort(Comparator.comparingLong(Event::at));
+        List<Breach> found = new Auditor(events).audit();
+        assertEquals(rule == null ? List.of() : List.of(rule), found.stream().map(Breach::rule).toList(), found::toString);
+        for (Breach each : found) {
+            boolean process = each.rule() == Rule.PROCESS || each.rule() == Rule.HALF_REQUEST;
+            assertEquals(process ? "n0" : "x", each.id());
+        }
+    }
+}
--- a/src/main/java/trestlegrade/sidecar/BoundedTransport.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/BoundedTransport.java
@@ -76,12 +76,18 @@
         /** Milliseconds until the next try behind an accept that failed: neither a spinning loop nor a late answer. */
         private static final long ACCEPT_RETRY = 10;
 
+        /** How many are accepted in a row where some had to wait. */
+        private static final int ACCEPTED_AT_ONCE = 64;
+        private static final long NOBODY = 0;
+
         private int letIn;
         /** Whether the latest accept failed, so that somebody may wait in the queue. */
         private boolean failing;
+        /** Since when somebody may wait in the queue whom this could not accept. */
+        private long waitingSince = NOBODY;
 
         Listener() {
-            // One at a time, so that each is counted before the next is accepted.
+            // Its count of messages is for those that wait: each is counted before the next is accepted.
             config().setMaxMessagesPerRead(1);
             listener = this;
             descriptors.whenFree(() -> config().setAutoRead(true));
@@ -103,32 +109,62 @@
         }
 
         @Override
-        protected int doReadMessages(List<Object> accepted) throws Exception {
-            if (descriptors.full()) {
-                config().setAutoRead(false);
-                if (descriptors.full()) {
-                    descriptors.awaited();
-                    return 0;
+        protected int doReadMessages(List<Object> accepted) {
+            int count = 0;
+            do {
+                SocketChannel client = hasRoom() ? accept() : null;
+                if (client == null) {
+                    break;
                 }
+                accepted.add(letIn(client));
+                count++;
+            } while (waitingSince != NOBODY && count < ACCEPTED_AT_ONCE);
+            return count;
+        }
+
+        /** Whether there is a descriptor for one more; if not, this accepts none until there is. */
+        private boolean hasRoom() {
+            if (!descriptors.full()) {
+                return true;
+            }
+            config().setAutoRead(false);
+            if (!descriptors.full()) {
                 config().setAutoRead(true);
+                return true;
             }
-            SocketChannel client;
+            somebodyWaits();
+            descriptors.awaited();
+            return false;
+        }
+
+        /** Whoever waits; null if nobody does, or the system does not let anybody in. */
+        private SocketChannel accept() {
             try {
-                client = javaChannel().accept();
+                SocketChannel client = javaChannel().accept();
+                failing = false;
+                if (client == null) {
+                    waitingSince = NOBODY;
+                }
+                return client;
             } catch (IOException e) {
                 retryLater(e);
-                return 0;
-            }
-            failing = false;
-            if (client == null) {
-                return 0;
+                return null;
             }
+        }
+
+        private Channel letIn(SocketChannel client) {
             descriptors.take();
             letIn++;
-            Channel connection = new InterruptibleSocketChannel(this, client);
+            long queued = waitingSince == NOBODY ? 0 : System.nanoTime() - waitingSince;
+            Channel connection = new InterruptibleSocketChannel(this, client, queued);
             connection.closeFuture().addListener(closed -> descriptors.giveBack());
-            accepted.add(connection);
-            return 1;
+            return connection;
+        }
+
+        private void somebodyWaits() {
+            if (waitingSince == NOBODY) {
+                waitingSince = System.nanoTime();
+            }
         }
 
         /**
@@ -137,6 +173,7 @@
          */
         private void retryLater(IOException cause) {
             failing = true;
+            somebodyWaits();
             acceptFailed.accept(cause);
             config().setAutoRead(false);
             eventLoop().schedule(() -> config().setAutoRead(true), ACCEPT_RETRY, TimeUnit.MILLISECONDS);
--- a/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/Clients.java
@@ -1,5 +1,6 @@
 package trestlegrade.sidecar;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -69,6 +70,16 @@
             return decoder.cameAt();
         }
 
+        /** How long what it brings now may have waited for its connection to be accepted. */
+        long queued() {
+            return decoder.queued(lateness.now());
+        }
+
+        /** Whether it has sent nothing at all so far. */
+        private boolean silent() {
+            return carried == 0 && !busy() && !decoder.partial();
+        }
+
         private boolean busy() {
             return reading != null || exchange != null && !exchange.over();
         }
@@ -148,6 +159,8 @@
         this.left = left;
         // What came during a stall is read before its connection is taken for one that brings nothing.
         vertx.setPeriodic(LOOK, t -> lateness.caughtUp(this::look));
+        Context context = vertx.getOrCreateContext();
+        descriptors.whenAwaited(() -> context.runOnContext(v -> startMakingRoom()));
     }
 
     // Milliseconds; a tenth of the time below.
@@ -222,12 +235,65 @@
                 client.reason = client.reason == null ? "slow" : client.reason;
                 counters.rejected(408);
                 client.answer(client.reading, 408, Buffer.buffer(), now);
-            } else if (client.carried == 0 || !keep) {
+            } else if (client.carried == 0 || partial || !keep) {
                 client.close(client.carried == 0 ? "silent" : "unused");
             }
         }
     }
 
+    /**
+     * Clients wait in the listener's queue while all descriptors are held: those that have said nothing make room for them,
+     * each once what it may have sent has been read. To leave that to the look above had what waited answered late: a crowd
+     * that says nothing holds all descriptors for as long as one may stand.
+     */
+    private void startMakingRoom() {
+        if (!makingRoom) {
+            makingRoom = true;
+            makeRoom();
+        }
+    }
+
+    private void makeRoom() {
+        makingRoom = descriptors.full();
+        if (makingRoom) {
+            for (int i = 0; i < ROOM_AT_ONCE && closeOneToMakeRoom(); i++) {
+                continue;
+            }
+            vertx.setTimer(ROOM_EVERY, t -> makeRoom());
+        }
+    }
+
+    /**
+     * Whether one that came when there was no room is served, and ends with its answer: those that hold the descriptors say
+     * nothing and will make room.
+     */
+    boolean servesOnce(Connection client) {
+        return "too-many".equals(client.reason) && anySilent();
+    }
+
+    private boolean anySilent() {
+        return open.values().stream().anyMatch(Connection::silent);
+    }
+
+    private boolean closeOneToMakeRoom() {
+        if (!anySilent()) {
+            return closeOneIdle();
+        }
+        long before = clock.now() - UNREAD - 2 * lateness.now();
+        for (Connection client : open.values()) {
+            if (client.silent() && client.active() <= before && client.reason == null) {
+                client.close("room");
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean makingRoom;
+    // Milliseconds, and how many then: a thousand and more in a second.
+    private static final long ROOM_EVERY = 10;
+    private static final int ROOM_AT_ONCE = 16;
+
     /**
      * Makes room by ending a connection that has not brought anything yet or has its last answer, or else the one unused
      * for longest.
--- a/src/main/java/trestlegrade/sidecar/Descriptors.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/Descriptors.java
@@ -10,6 +10,7 @@
     private final int most;
     private final AtomicInteger held = new AtomicInteger();
     private volatile Runnable whenFree = () -> { };
+    private volatile Runnable whenAwaited = () -> { };
 
     private Descriptors(int most) {
         this.most = most;
@@ -44,6 +45,12 @@
     /** Somebody waits since there is none for it. */
     void awaited() {
         awaitedAt = System.nanoTime();
+        whenAwaited.run();
+    }
+
+    /** What to do once somebody waits; on that one's thread. */
+    void whenAwaited(Runnable then) {
+        whenAwaited = then;
     }
 
     /** Whether what begins now may have waited for one: the queue behind them is empty long before that. */
--- a/src/main/java/trestlegrade/sidecar/Front.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/Front.java
@@ -14,12 +14,15 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
+import java.net.BindException;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
 import trestlegrade.Terms.Profile;
 import trestlegrade.Terms.Repeat;
 import trestlegrade.sidecar.Clients.Connection;
@@ -45,7 +48,7 @@
     private final BodyMemory bodies = BodyMemory.ofHeap(REQUESTS);
     /** The ids of the transactions that are open. */
     private final Set<String> traces = new HashSet<>();
-    private final HttpServer server;
+    private final PipeliningGate.Held held = new PipeliningGate.Held();
     private boolean ready;
     private boolean leaving;
     private boolean lingered;
@@ -112,13 +115,16 @@
         this.lateness = lateness;
         clients = new Clients(vertx, clock, counters, descriptors, lateness, this::left);
         adopt(commission);
+    }
+
+    /** A server as it is told to listen; one whose listening failed is of no more use. */
+    private HttpServer server() {
         HttpServerOptions options = new HttpServerOptions().setHost(commission.listen().host())
                 .setPort(commission.listen().port()).setTcpNoDelay(true).setHttp2ClearTextEnabled(false)
                 .setHandle100ContinueAutomatically(true).setAcceptBacklog(BACKLOG)
                 // No client speaks WebSocket here, so no head need pass the library's reader of its extensions.
                 .setPerFrameWebSocketCompressionSupported(false).setPerMessageWebSocketCompressionSupported(false);
-        server = vertx.createHttpServer(options);
-        PipeliningGate.Held held = new PipeliningGate.Held();
+        HttpServer server = vertx.createHttpServer(options);
         server.connectionHandler(connection -> {
             StrictDecoder decoder = StrictDecoder.on(connection, options, clock, lateness, held,
                     () -> clients.of(connection).reason = "too-far-ahead");
@@ -126,6 +132,7 @@
         });
         server.invalidRequestHandler(this::malformed);
         server.requestHandler(this::request);
+        return server;
     }
 
     /** New settings, for what is taken from now on. */
@@ -139,10 +146,29 @@
     // More than the descriptors allow to be open: no client that comes during a stall is turned away.
     private static final int BACKLOG = 1024;
 
+    /**
+     * Listens. Where the system has no socket for it just now (EMFILE, ENFILE, ENOBUFS, ENOMEM) this tries again for a
+     * while; an address that is taken is told at once.
+     */
     Future<HttpServer> listen() {
-        return server.listen();
+        return listen(clock.now() + LISTENS_WITHIN);
     }
 
+    private Future<HttpServer> listen(long until) {
+        return server().listen().recover(cause -> {
+            if (cause instanceof BindException || clock.now() >= until) {
+                return Future.failedFuture(cause);
+            }
+            counters.log.add(() -> Logger.warn("serve code=listen-again listen={} cause={}", commission.listen(),
+                    cause.getMessage()));
+            return vertx.timer(LISTEN_RETRY, TimeUnit.MILLISECONDS).compose(due -> listen(until));
+        });
+    }
+
+    // Tenths of a millisecond, well under what a start may take.
+    private static final long LISTENS_WITHIN = 100_000;
+    private static final long LISTEN_RETRY = 50;
+
     /**
      * SIGTERM has come, and the program is killed once the longest deadline and a little more have passed: all is
      * served until then as before, for nobody else serves these clients. Late enough that the last transactions have
@@ -298,14 +324,14 @@
             reject(request, client, 400, "malformed");
         } else if (profile == null) {
             reject(request, client, 404, "unknown-profile");
-        } else if (client.reason != null) {
+        } else if (client.reason != null && !clients.servesOnce(client)) {
             // Too many, or leaving: nothing has been sent for it, and the connection ends with the answer.
             reject(request, client, 503, client.reason);
         } else {
             Profile terms = commission.terms().profiles().get(profile);
             // Its time counts from its last byte, and it may have waited for the answer to the one before it on its
-            // connection: counted from here, it was answered late by as much as that one took.
-            long waited = clock.now() - client.cameAt();
+            // connection, or for a descriptor: counted from here, it was answered late by as much as that took.
+            long waited = clock.now() - client.cameAt() + client.queued();
             long wait = Math.max(0, Math.min(patience, terms.deadline()) - waited);
             // What is read after a stall may have come at its beginning: that much of its wait is over.
             long unread = Math.min(wait, lateness.unread());
--- a/src/main/java/trestlegrade/sidecar/InterruptibleSocketChannel.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/InterruptibleSocketChannel.java
@@ -13,12 +13,22 @@
 final class InterruptibleSocketChannel extends NioSocketChannel {
     private static final int END_OF_STREAM = -1;
 
+    private final long queuedNanoseconds;
+
     /** One that will be connected. */
-    InterruptibleSocketChannel() { }
+    InterruptibleSocketChannel() {
+        queuedNanoseconds = 0;
+    }
 
-    /** One that was accepted. */
-    InterruptibleSocketChannel(Channel listener, SocketChannel socket) {
+    /** One that was accepted; its client may have waited for that for so long. */
+    InterruptibleSocketChannel(Channel listener, SocketChannel socket, long queuedNanoseconds) {
         super(listener, socket);
+        this.queuedNanoseconds = queuedNanoseconds;
+    }
+
+    /** How long its client may have waited in the listener's queue, at the most. */
+    long queuedNanoseconds() {
+        return queuedNanoseconds;
     }
 
     @Override
--- a/src/main/java/trestlegrade/sidecar/StrictDecoder.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/StrictDecoder.java
@@ -1,6 +1,7 @@
 package trestlegrade.sidecar;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpMessage;
@@ -25,17 +26,23 @@
     private long begun;
     private long heard;
     private boolean partial;
+    private final long opened;
+    private final long queued;
 
-    private StrictDecoder(HttpServerOptions options, Clock clock) {
+    private StrictDecoder(HttpServerOptions options, Clock clock, long queued) {
         super(options);
         this.clock = clock;
+        this.queued = queued;
+        opened = clock.now();
     }
 
     /** Takes the place of the usual one, before anything has been read. */
     static StrictDecoder on(HttpConnection connection, HttpServerOptions options, Clock clock, Lateness lateness,
                             PipeliningGate.Held held, Runnable tooFar) {
-        ChannelPipeline pipeline = ((HttpServerConnection) connection).channelHandlerContext().pipeline();
-        StrictDecoder decoder = new StrictDecoder(options, clock);
+        Channel channel = ((HttpServerConnection) connection).channelHandlerContext().channel();
+        ChannelPipeline pipeline = channel.pipeline();
+        long queued = channel instanceof InterruptibleSocketChannel own ? own.queuedNanoseconds() : 0;
+        StrictDecoder decoder = new StrictDecoder(options, clock, queued / NANOSECONDS);
         pipeline.replace("httpDecoder", "httpDecoder", decoder);
         decoder.gate = new PipeliningGate(decoder, clock, held, tooFar);
         decoder.linger = new LingeringClose(decoder, clock, lateness);
@@ -72,6 +79,19 @@
         return gate.waits();
     }
 
+    /**
+     * How long the message that was let through may have waited before its connection was accepted: nothing, unless it was
+     * read right behind that. The bound is that of the connection; what came later is not known to have waited.
+     */
+    long queued(long late) {
+        return cameAt() - opened <= AT_ONCE + 2 * late ? queued : 0;
+    }
+
+    // Of a tenth of a millisecond.
+    private static final long NANOSECONDS = 100_000;
+    // Tenths of a millisecond from the accept to the first read.
+    private static final long AT_ONCE = 500;
+
     /** When the last byte of the message that was let through came. */
     long cameAt() {
         return gate.cameAt();
--- a/src/test/java/trestlegrade/sidecar/ClientsIT.java
+++ b/sidecar/src/test/java/trestlegrade/sidecar/ClientsIT.java
@@ -294,4 +294,45 @@
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
+
+    /** A crowd that says nothing holds all descriptors: whoever comes behind it is answered in its own time. */
+    @Test
+    void aSilentCrowdMakesRoomForThoseThatSend() throws Exception {
+        sockets = 64;
+        endpoint(r -> answer(200, "", "good"));
+        serve();
+        for (int i = 0; i < 60; i++) {
+            client();
+        }
+        Client next = client();
+        Stopwatch watch = new Stopwatch();
+        assertTrue(next.ask(transaction("quote", "t", 1_200)).startsWith("HTTP/1.1 200 "));
+        assertTrue(watch.milliseconds() < 1_200, "after " + watch.milliseconds() + " ms");
+    }
+
+    /** Clients in the midst of their bodies hold all descriptors for two seconds, and one waits for that to be let in. */
+    @Test
+    void whatWaitedForADescriptorIsToldNoMoreTimeThanIsLeft() throws Exception {
+        sockets = 64;
+        long[] seenAt = {0};
+        Stub endpoint = endpoint(r -> {
+            seenAt[0] = System.nanoTime();
+            return answer(200, "", "good");
+        });
+        serve();
+        for (int i = 0; i < 30; i++) {
+            client().write("POST /post-charge HTTP/1.1\r\nHost: h\r\nX-Trace-Id: b" + i + "\r\nContent-Length: 9\r\n\r\nb");
+        }
+        Client next = client();
+        long asked = System.nanoTime();
+        String got = next.ask(transaction("post-charge", "t", 2_900));
+        if (got.startsWith("HTTP/1.1 200 ")) {
+            long told = Heads.patience(header(endpoint.seen.get(0), "X-Expires-In")) / 10;
+            long left = 2_900 - (seenAt[0] - asked) / 1_000_000;
+            assertTrue(told <= left + 150, "told " + told + " ms with " + left + " ms left");
+        } else {
+            assertTrue(got.startsWith("HTTP/1.1 503 "), got);
+        }
+        assertTrue(System.nanoTime() - asked < 2_900_000_000L, "answered behind its time");
+    }
 }
--- a/src/test/java/trestlegrade/sidecar/EndsIT.java
+++ b/sidecar/src/test/java/trestlegrade/sidecar/EndsIT.java
@@ -221,4 +221,18 @@
         }
         eventually(() -> !places[1].seen.isEmpty());
     }
+
+    /** Connections are kept until the end is near, but not for one that has stopped in the midst of its request. */
+    @Test
+    void halfARequestIsNotHeldUntilTheEnd() throws Exception {
+        serve();
+        Client client = client();
+        answered(ask(client, "t", 1_500));
+        process.destroy();
+        eventually(() -> log().contains("code=leaving"));
+        client.write("POST /post-charge HTTP/1.1\r\nHost: h\r\nContent-Len");
+        Stopwatch watch = new Stopwatch();
+        assertEquals("", client.read());
+        assertTrue(watch.milliseconds() < 2_700, "held for " + watch.milliseconds() + " ms");
+    }
 }
--- a/src/test/java/trestlegrade/sidecar/Loopback.java
+++ b/sidecar/src/test/java/trestlegrade/sidecar/Loopback.java
@@ -96,8 +96,8 @@
         if (descriptorsBounded) {
             command.addAll(List.of("sh", "-c", "ulimit -n " + sockets + " && exec \"$@\"", "sh"));
         }
-        command.addAll(List.of("java", "-XX:SharedArchiveFile=target/trestlegrade.jsa", "@deploy/jvm.options", "-jar",
-                "target/trestlegrade.jar", "serve"));
+        command.addAll(List.of("java", "-XX:SharedArchiveFile=sidecar/target/trestlegrade.jsa", "@deploy/jvm.options", "-jar",
+                "sidecar/target/trestlegrade.jar", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(output == null ? ProcessBuilder.Redirect.to(log.toFile()) : output);
         if (verbose) {
--- a/src/test/java/trestlegrade/sidecar/SystemCallsIT.java
+++ b/sidecar/src/test/java/trestlegrade/sidecar/SystemCallsIT.java
@@ -10,8 +10,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import trestlegrade.sidecar.SystemCallShim.Errno;
-import trestlegrade.sidecar.SystemCallShim.Field;
+import trestlegrade.lab.soak.SystemCallShim;
+import trestlegrade.lab.soak.SystemCallShim.Errno;
+import trestlegrade.lab.soak.SystemCallShim.Field;
 
 /** The system calls of the process fail as their manual pages say: each request has its answer in time all the same. */
 class SystemCallsIT extends Loopback {
@@ -20,7 +21,7 @@
 
     @BeforeEach
     void preload() throws Exception {
-        shim = new SystemCallShim(dir, 20261202);
+        shim = new SystemCallShim(SystemCallShim.compile(dir), dir.resolve("shim-control"), 20261202);
         environment.putAll(shim.environment());
         serve();
     }
@@ -74,6 +75,17 @@
         assertEquals(1, counters().getJsonObject("now").getLong("pooled"));
     }
 
+    /** The listener itself has to wait for a socket. */
+    @Test
+    void noSocketToListenOnForAWhile() throws Exception {
+        process.destroyForcibly().waitFor();
+        shim.fail(Field.SOCKET_ERRNO, Field.SOCKET_RATE, Errno.ENFILE, SystemCallShim.ALL);
+        start();
+        eventually(() -> log().contains("serve code=listen-again"));
+        shim.set(Field.SOCKET_RATE, 0);
+        within(10_000, () -> health() == 200);
+    }
+
     /** Every read and write moves one byte, and one call in four is interrupted. */
     @Test
     void shortAndInterruptedReadsAndWrites() throws Exception {
--- a/tools/Cost.java
+++ b/tools/Cost.java
@@ -25,7 +25,7 @@
  *
  * <pre>java tools/Cost.java [FOLDER]</pre>
  *
- * FOLDER holds {@code target/trestlegrade.jar} and {@code deploy/jvm.options}; the current one if left out, so that
+ * FOLDER holds {@code sidecar/target/trestlegrade.jar} and {@code deploy/jvm.options}; the current one if left out, so that
  * two versions can be compared. Endpoints, discovery and clients are stand-ins on loopback in this program; each
  * scenario starts a sidecar of its own. Takes two and a half minutes and three cores. Each figure is from one play on
  * the machine at hand: compare versions played in turn, not figures of two machines.
@@ -121,8 +121,8 @@
                   "safety":{"ask_within":10000,"cold":9000,"cold_from":0.3,"fall":2000,"fall_multiple":3}}}
                 """.formatted(port, discovery));
         // As deploy/balancer.toml starts it.
-        ProcessBuilder start = new ProcessBuilder("java", "-XX:SharedArchiveFile=target/trestlegrade.jsa",
-                "@deploy/jvm.options", "-jar", "target/trestlegrade.jar", "serve").directory(folder.toFile())
+        ProcessBuilder start = new ProcessBuilder("java", "-XX:SharedArchiveFile=sidecar/target/trestlegrade.jsa",
+                "@deploy/jvm.options", "-jar", "sidecar/target/trestlegrade.jar", "serve").directory(folder.toFile())
                 .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD);
         start.environment().put("LB_CONFIG", file.toString());
         sidecar = start.start();
@@ -307,7 +307,7 @@
 
     public static void main(String[] args) throws Exception {
         Path folder = Path.of(args.length > 0 ? args[0] : ".");
-        for (String needed : List.of("target/trestlegrade.jar", "deploy/jvm.options")) {
+        for (String needed : List.of("sidecar/target/trestlegrade.jar", "deploy/jvm.options")) {
             if (!Files.isReadable(folder.resolve(needed))) {
                 System.err.println("cost: " + folder.resolve(needed) + " cannot be read; build that folder first");
                 System.exit(2);
