Crowds behind a stall make room too; the wait in the queue counts the stall before it

Now room is made once all sockets have been read behind a stall, and the stall counts as waited.

The rig: its own threads' lateness counts, clients begin a second behind the last start, discovery's troubles last up to 12 s.

--- a/lab/src/main/java/trestlegrade/lab/soak/Auditor.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/Auditor.java
@@ -23,6 +23,8 @@
     private static final long HALF_REQUEST_HELD = TimeUnit.MILLISECONDS.toNanos(3_500);
     /** Shorter pauses of a process excuse nothing. */
     private static final long HELD_UP = TimeUnit.MILLISECONDS.toNanos(150);
+    /** Of this rig, one after the other, from a sidecar's write to the time that is noted: each is late on a busy machine. */
+    private static final int THREADS_ON_THE_WAY = 3;
     private static final int KILLED = 137;
     /** Characters of a text that a story shows. */
     private static final int SHOWN = 160;
@@ -295,7 +297,7 @@
     private long allowance(String sidecar, long at) {
         long late = machineLate.subMap(at - TimeUnit.SECONDS.toNanos(2), at + LATE_ANSWER).values().stream()
                 .mapToLong(each -> each).sum();
-        return late + (overlaps(sidecar, at - HELD_UP, at, "held-up") ? HELD_UP : 0);
+        return THREADS_ON_THE_WAY * late + (overlaps(sidecar, at - HELD_UP, at, "held-up") ? HELD_UP : 0);
     }
 
     private long last() {
--- a/lab/src/main/java/trestlegrade/lab/soak/Plan.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/Plan.java
@@ -13,6 +13,8 @@
     /** Nothing begins later before the end: what it does is seen. */
     private static final int QUIET_AFTER = 4_000;
     private static final int MEAN_GAP = 900;
+    /** Longer than what a sidecar may rely on a list that nobody confirms. */
+    private static final int DISCOVERY_LASTS = 2;
     private static final int LONGEST_PAUSE = 6_000;
 
     static Plan draw(long seed, int milliseconds, int sidecars, int servers) {
@@ -35,7 +37,7 @@
         return switch (random.nextInt(16)) {
             case 0, 1, 2, 3 -> new Fault.AtServer(start, length, server, any(random, Fault.ServerTrouble.values()));
             case 4, 5, 6 -> new Fault.Leave(start, length, server, random.nextInt(4) == 0);
-            case 7, 8 -> new Fault.AtDiscovery(start, length, any(random, Fault.DiscoveryTrouble.values()));
+            case 7, 8 -> new Fault.AtDiscovery(start, DISCOVERY_LASTS * length, any(random, Fault.DiscoveryTrouble.values()));
             case 9, 10 -> new Fault.SystemCalls(start, length, sidecar, any(random, Fault.SystemCallTrouble.values()),
                     random.nextInt(1_000));
             case 11, 12 -> new Fault.Restart(start, length, sidecar);
--- a/lab/src/main/java/trestlegrade/lab/soak/SidecarProcess.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/SidecarProcess.java
@@ -20,6 +20,8 @@
     private static final int PORTS = 20_000;
     /** Runs beside each other begin far apart. */
     private static final AtomicInteger NEXT_PORT = new AtomicInteger((int) ProcessHandle.current().pid() * 211);
+    /** Behind SIGTERM new connections go on coming for so long. */
+    private static final long CONNECTS_AFTER_TERM = TimeUnit.MILLISECONDS.toNanos(400);
     private static final int ASK_AGAIN_MILLISECONDS = 20;
     private static final int HEALTH_TIMEOUT_MILLISECONDS = 1_000;
 
@@ -40,6 +42,7 @@
     /** Which relay and limit the settings name. */
     private int settings;
     private volatile boolean open;
+    private volatile long openUntil = Long.MAX_VALUE;
     private volatile long pausedUntil = Long.MIN_VALUE;
 
     SidecarProcess(int index, int sidecars, long seed, Path folder, Path program, Path shimLibrary, Recorder recorder,
@@ -82,14 +85,15 @@
         return shim;
     }
 
-    /** Whether clients may come: it has been healthy since its start, and has not ended. */
+    /** Whether clients may connect: it has been healthy since its start, and has not been told to end a while ago. */
     boolean open() {
-        return open;
+        return open && System.nanoTime() < openUntil;
     }
 
     synchronized void start() throws IOException, InterruptedException {
         AtomicBoolean toldToEnd = new AtomicBoolean();
         asked = toldToEnd;
+        openUntil = Long.MAX_VALUE;
         writeSettings();
         ProcessBuilder builder = new ProcessBuilder("java", "-XX:SharedArchiveFile=" + ProgramFiles.ARCHIVE,
                 "@" + ProgramFiles.OPTIONS, "-jar", ProgramFiles.JAR, "serve")
@@ -146,6 +150,7 @@
         if (process.isAlive()) {
             if (signal.equals("TERM") || signal.equals("KILL")) {
                 asked.set(true);
+                openUntil = System.nanoTime() + CONNECTS_AFTER_TERM;
             }
             recorder.add(new Event.SignalSent(System.nanoTime(), name, signal));
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
--- a/lab/src/main/java/trestlegrade/lab/soak/Soak.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/Soak.java
@@ -19,6 +19,8 @@
     private static final int INTERRUPT_RATE = 100;
     private static final int RESET_EVERY = 9;
     private static final int DELAY_MILLISECONDS = 200;
+    /** From the last sidecar's start to the first client, for threads and classes on both sides. */
+    private static final int WARM_MILLISECONDS = 1_000;
     private static final int SETTLES_MILLISECONDS = 3_500;
     private static final long HELD_UP_ONLY = TimeUnit.MILLISECONDS.toNanos(200);
     /** Microseconds by which the wall clock steps. */
@@ -64,6 +66,7 @@
         Runtime.getRuntime().addShutdownHook(atExit);
         try {
             setUp();
+            Thread.sleep(WARM_MILLISECONDS);
             long start = System.nanoTime();
             long end = start + plan.milliseconds() * 1_000_000L;
             for (SidecarProcess sidecar : sidecars) {
@@ -97,6 +100,7 @@
         for (int i = 0; i < plan.servers(); i++) {
             StandInServer server = new StandInServer("s-" + i, background, recorder);
             servers.add(server);
+            server.warmUp();
             discovery.first(server.name(), server.proxy().port(), i % 2 == 0 ? "a" : "b");
         }
         for (int i = 0; i < plan.sidecars(); i++) {
--- a/lab/src/main/java/trestlegrade/lab/soak/StandInServer.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/StandInServer.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -17,6 +18,9 @@
     /** One answer in so many is spoilt while answers are. */
     private static final int SPOILT_ONE_IN = 3;
 
+    private static final String HALF_AN_ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nhalf";
+    private static final String NO_HTTP = "what is this?\r\n\r\n";
+
     private final String name;
     private final Background background;
     private final Recorder recorder;
@@ -73,6 +77,15 @@
         turnsAway = on;
     }
 
+    /** One request by the relay, so that no thread or class of this rig is new to the first of the sidecars'. */
+    void warmUp() throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), proxy.port())) {
+            socket.getOutputStream().write("GET /warm-up HTTP/1.1\r\nX-Trace-Id: warm-up\r\nX-Expires-In: 1m\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            new HttpMessage.Reader(socket.getInputStream()).next();
+        }
+    }
+
     private void serve(Socket socket) throws IOException, InterruptedException {
         try (socket) {
             socket.setTcpNoDelay(true);
@@ -107,8 +120,8 @@
         }
         Thread.sleep(ThreadLocalRandom.current().nextInt(2 * ANSWERS_AFTER_MILLISECONDS));
         if (spoils && ThreadLocalRandom.current().nextInt(SPOILT_ONE_IN) == 0) {
-            socket.getOutputStream().write(HttpMessage.answer(200, "", id).length > 0 && ThreadLocalRandom.current().nextBoolean()
-                    ? "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nhalf".getBytes() : "what is this?\r\n\r\n".getBytes());
+            String spoilt = ThreadLocalRandom.current().nextBoolean() ? HALF_AN_ANSWER : NO_HTTP;
+            socket.getOutputStream().write(spoilt.getBytes(StandardCharsets.US_ASCII));
             return false;
         }
         byte[] answer = HttpMessage.answer(errs ? 500 : 200, "", id + "|" + name);
--- a/sidecar/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/Clients.java
@@ -259,7 +259,7 @@
             for (int i = 0; i < ROOM_AT_ONCE && closeOneToMakeRoom(); i++) {
                 continue;
             }
-            vertx.setTimer(ROOM_EVERY, t -> makeRoom());
+            vertx.setTimer(ROOM_EVERY, t -> lateness.caughtUp(this::makeRoom));
         }
     }
 
@@ -279,7 +279,8 @@
         if (!anySilent()) {
             return closeOneIdle();
         }
-        long before = clock.now() - UNREAD - 2 * lateness.now();
+        // All sockets have been read since the latest stall, so how long that was does not matter any more.
+        long before = clock.now() - UNREAD - 2 * Math.min(lateness.now(), USUALLY_LATE);
         for (Connection client : open.values()) {
             if (client.silent() && client.active() <= before && client.reason == null) {
                 client.close("room");
@@ -289,6 +290,8 @@
         return false;
     }
 
+    // Tenths of a millisecond; what is later counts as a stall, behind which all sockets are read first.
+    private static final long USUALLY_LATE = 500;
     private boolean makingRoom;
     // Milliseconds, and how many then: a thousand and more in a second.
     private static final long ROOM_EVERY = 10;
--- a/sidecar/src/main/java/trestlegrade/sidecar/Lateness.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/Lateness.java
@@ -24,6 +24,8 @@
     /** How long the latest stall was, until the sockets have been read behind it; 0 then. */
     private long backlog;
     private long stalls;
+    private long stallLength;
+    private long stallEnd = Long.MIN_VALUE / 2;
 
     Lateness(Vertx vertx, Clock clock, Histogram seen) {
         this.vertx = vertx;
@@ -47,6 +49,8 @@
         }
         if (behind > STALL) {
             keepUntilRead(behind);
+            stallLength = now - stallEnd < STALLS_TOGETHER ? Math.max(stallLength, behind) : behind;
+            stallEnd = now;
         }
         last = now;
     }
@@ -81,6 +85,14 @@
         return Math.max(now - last - PULSE, recent);
     }
 
+    /** How long the loop stood still up to this time, or since then; 0 if it did not. */
+    long stalledAt(long time) {
+        return stallEnd + 2 * PULSE >= time ? stallLength : 0;
+    }
+
+    // As long as any transaction may wait.
+    private static final long STALLS_TOGETHER = 3 * SECOND;
+
     /**
      * Does it at once, or after a stall once all sockets have been read twice more: what waits there (a word of the
      * list, a client's end behind its last bytes) may be older than what this would do, and forbid it. The loop
--- a/sidecar/src/main/java/trestlegrade/sidecar/StrictDecoder.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/StrictDecoder.java
@@ -41,8 +41,12 @@
                             PipeliningGate.Held held, Runnable tooFar) {
         Channel channel = ((HttpServerConnection) connection).channelHandlerContext().channel();
         ChannelPipeline pipeline = channel.pipeline();
-        long queued = channel instanceof InterruptibleSocketChannel own ? own.queuedNanoseconds() : 0;
-        StrictDecoder decoder = new StrictDecoder(options, clock, queued / NANOSECONDS);
+        long queued = channel instanceof InterruptibleSocketChannel own ? own.queuedNanoseconds() / NANOSECONDS : 0;
+        if (queued > 0) {
+            // It may have come while the process stood still, before the listener saw that somebody waits.
+            queued += lateness.stalledAt(clock.now() - queued);
+        }
+        StrictDecoder decoder = new StrictDecoder(options, clock, queued);
         pipeline.replace("httpDecoder", "httpDecoder", decoder);
         decoder.gate = new PipeliningGate(decoder, clock, held, tooFar);
         decoder.linger = new LingeringClose(decoder, clock, lateness);
