A wait in the listener's queue is forgotten once nobody waits; one idle client makes room

Cause, by reading the whole change: whoever waited last may take the last descriptor, and then the listener looked for room again, found none, and took that for somebody who waits. So room was made for nobody, and the next client that came, however late, counted as having waited since then: its first request could be refused as over. And where all clients were in use up to 16 idle ones were ended every 10 ms for one that waits, each of which has to connect anew.

Now the listener looks for room only when the loop has found somebody, the wait is forgotten after two looks at nobody, and one idle client a time makes room where none is silent.

--- a/sidecar/src/main/java/trestlegrade/sidecar/BoundedTransport.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/BoundedTransport.java
@@ -81,6 +81,8 @@
         private static final long NOBODY = 0;
 
         private int letIn;
+        /** How often the loop has found somebody waiting. */
+        private long looks;
         /** Whether the latest accept failed, so that somebody may wait in the queue. */
         private boolean failing;
         /** Since when somebody may wait in the queue whom this could not accept. */
@@ -108,20 +110,37 @@
             }, 1, TimeUnit.MILLISECONDS), 1, TimeUnit.MILLISECONDS);
         }
 
+        /** Called while somebody waits, so what is not let in here still does. */
         @Override
         protected int doReadMessages(List<Object> accepted) {
+            looks++;
             int count = 0;
-            do {
-                SocketChannel client = hasRoom() ? accept() : null;
-                if (client == null) {
-                    break;
-                }
+            SocketChannel client = hasRoom() ? accept() : null;
+            while (client != null) {
                 accepted.add(letIn(client));
                 count++;
-            } while (waitingSince != NOBODY && count < ACCEPTED_AT_ONCE);
+                boolean more = waitingSince != NOBODY && count < ACCEPTED_AT_ONCE && !descriptors.full();
+                client = more ? accept() : null;
+            }
+            if (count > 0 && waitingSince != NOBODY) {
+                forgetUnlessSomebodyWaits();
+            }
             return count;
         }
 
+        /**
+         * Who waited last may just have been let in. With room for one more this is called again for whoever waits, before
+         * the second of two timers that follow each other.
+         */
+        private void forgetUnlessSomebodyWaits() {
+            long before = looks;
+            eventLoop().schedule(() -> eventLoop().schedule(() -> {
+                if (before == looks && !failing) {
+                    waitingSince = NOBODY;
+                }
+            }, 1, TimeUnit.MILLISECONDS), 1, TimeUnit.MILLISECONDS);
+        }
+
         /** Whether there is a descriptor for one more; if not, this accepts none until there is. */
         private boolean hasRoom() {
             if (!descriptors.full()) {
--- a/sidecar/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/Clients.java
@@ -256,8 +256,11 @@
     private void makeRoom() {
         makingRoom = descriptors.full();
         if (makingRoom) {
-            for (int i = 0; i < ROOM_AT_ONCE && closeOneToMakeRoom(); i++) {
-                continue;
+            if (!anySilent()) {
+                // All are in use: one at a time, as each costs its client a new connection.
+                closeOneIdle();
+            } else {
+                closeSilent();
             }
             vertx.setTimer(ROOM_EVERY, t -> lateness.caughtUp(this::makeRoom));
         }
@@ -275,19 +278,11 @@
         return open.values().stream().anyMatch(Connection::silent);
     }
 
-    private boolean closeOneToMakeRoom() {
-        if (!anySilent()) {
-            return closeOneIdle();
-        }
+    private void closeSilent() {
         // All sockets have been read since the latest stall, so how long that was does not matter any more.
         long before = clock.now() - UNREAD - 2 * Math.min(lateness.now(), USUALLY_LATE);
-        for (Connection client : open.values()) {
-            if (client.silent() && client.active() <= before && client.reason == null) {
-                client.close("room");
-                return true;
-            }
-        }
-        return false;
+        open.values().stream().filter(client -> client.silent() && client.active() <= before && client.reason == null)
+                .limit(ROOM_AT_ONCE).toList().forEach(client -> client.close("room"));
     }
 
     // Tenths of a millisecond; what is later counts as a stall, behind which all sockets are read first.
--- a/sidecar/src/test/java/trestlegrade/sidecar/BoundedTransportTest.java
+++ b/sidecar/src/test/java/trestlegrade/sidecar/BoundedTransportTest.java
@@ -7,12 +7,15 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -69,4 +72,38 @@
             loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         }
     }
+
+    /** The one that waited last took the last descriptor. Who comes long after that, and finds room, has not waited. */
+    @Test
+    void whoFindsRoomHasNotWaitedHoweverLongAgoOthersDid() throws Exception {
+        Descriptors descriptors = Descriptors.forClients(64);
+        for (int i = 0; i < descriptors.most(); i++) {
+            descriptors.take();
+        }
+        BoundedTransport transport = new BoundedTransport(descriptors, new Counters.Turns(), cause -> { });
+        MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, transport.ioHandlerFactory());
+        BlockingQueue<InterruptibleSocketChannel> letIn = new LinkedBlockingQueue<>();
+        try (Socket first = new Socket(); Socket second = new Socket()) {
+            InetSocketAddress address = (InetSocketAddress) new ServerBootstrap().group(loops)
+                    .channelFactory(transport.serverChannelFactory(false))
+                    .childHandler(new ChannelInitializer<InterruptibleSocketChannel>() {
+                        @Override
+                        protected void initChannel(InterruptibleSocketChannel client) {
+                            letIn.add(client);
+                        }
+                    }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel().localAddress();
+            first.connect(address);
+            Loopback.eventually(descriptors::awaitedLately);
+            Loopback.pause(200);
+            descriptors.giveBack();
+            long waited = letIn.poll(5, TimeUnit.SECONDS).queuedNanoseconds();
+            assertTrue(waited >= 150_000_000, "waited " + waited);
+            Loopback.pause(500);
+            descriptors.giveBack();
+            second.connect(address);
+            assertEquals(0, letIn.poll(5, TimeUnit.SECONDS).queuedNanoseconds());
+        } finally {
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
 }
