--- /dev/null
+++ b/lab/src/main/java/trestlegrade/lab/soak/Acceptor.java
@@ -0,0 +1,70 @@
+package trestlegrade.lab.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+/** A port of loopback; each connection to it is handled on a thread of its own and closed behind that. */
+final class Acceptor implements AutoCloseable {
+    private static final int BACKLOG = 1_024;
+
+    /** What is done with a connection. */
+    interface Handler {
+        void handle(Socket connection) throws IOException, InterruptedException;
+    }
+
+    private final Background background;
+    private final String name;
+    private final Handler handler;
+    private final int port;
+    private volatile ServerSocket listener;
+
+    /** On a port that the system chooses. */
+    Acceptor(Background background, String name, Handler handler) throws IOException {
+        this.background = background;
+        this.name = name;
+        this.handler = handler;
+        listener = open(0);
+        port = listener.getLocalPort();
+    }
+
+    int port() {
+        return port;
+    }
+
+    /** Refuses connections from now on, or no longer. */
+    synchronized void refuse(boolean on) throws IOException {
+        if (on) {
+            listener.close();
+        } else if (listener.isClosed()) {
+            listener = open(port);
+        }
+    }
+
+    private ServerSocket open(int on) throws IOException {
+        ServerSocket opened = new ServerSocket();
+        opened.setReuseAddress(true);
+        opened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), on), BACKLOG);
+        background.run(name, () -> {
+            while (true) {
+                Socket connection = opened.accept();
+                background.run(name + "-connection", () -> handle(connection));
+            }
+        });
+        return opened;
+    }
+
+    private void handle(Socket connection) throws IOException, InterruptedException {
+        try (connection) {
+            connection.setTcpNoDelay(true);
+            handler.handle(connection);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
--- a/lab/src/test/java/trestlegrade/lab/soak/AuditorTest.java
+++ b/lab/src/test/java/trestlegrade/lab/soak/AuditorTest.java
@@ -24,6 +24,7 @@
                 planted(Rule.ANSWER, read(), seen(2, 900), ran(3), answered(1_600, 200)),
                 planted(Rule.ANSWER, read(), seen(2, 900), new Event.ConnectionLost(AT + 9 * MS, "x", "closed")),
                 planted(Rule.ANSWER, read(), new Event.AnswerBroken(AT + 9 * MS, "x", "half")),
+                planted(Rule.ANSWER, read(), seen(2, 900), ran(3)),
                 planted(Rule.FOREIGN_ANSWER, read(), seen(2, 900), ran(3), new Event.AnswerRead(AT + 9 * MS, "x", 200, "y|s")),
                 planted(Rule.SENT_AFTER_ANSWER, read(), answered(10, 503), seen(100, 800)),
                 planted(Rule.SENT_AFTER_CLOSE, read(), new Event.ClientClosed(AT + 5 * MS, "x"), seen(120, 800)),
--- a/sidecar/src/main/java/trestlegrade/sidecar/BoundedTransport.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/BoundedTransport.java
@@ -89,7 +89,7 @@
         private long waitingSince = NOBODY;
 
         Listener() {
-            // Its count of messages is for those that wait: each is counted before the next is accepted.
+            // One look for each call below, which counts and bounds by itself what it accepts.
             config().setMaxMessagesPerRead(1);
             listener = this;
             descriptors.whenFree(() -> config().setAutoRead(true));
--- a/sidecar/src/main/java/trestlegrade/sidecar/Clients.java
+++ b/sidecar/src/main/java/trestlegrade/sidecar/Clients.java
@@ -32,6 +32,8 @@
         /** Its last answer; done once the kernel has all of it. */
         private Future<Void> written = Future.succeededFuture();
         private boolean ending;
+        /** Whether this side has closed it, and waits to be told so. */
+        private boolean closing;
         String reason;
 
         private Connection(HttpConnection http, StrictDecoder decoder, long opened) {
@@ -135,6 +137,7 @@
 
         void close(String why) {
             reason = reason == null ? why : reason;
+            closing = true;
             http.close();
         }
     }
@@ -281,7 +284,7 @@
     private void closeSilent() {
         // All sockets have been read since the latest stall, so how long that was does not matter any more.
         long before = clock.now() - UNREAD - 2 * Math.min(lateness.now(), USUALLY_LATE);
-        open.values().stream().filter(client -> client.silent() && client.active() <= before && client.reason == null)
+        open.values().stream().filter(client -> client.silent() && client.active() <= before && !client.closing)
                 .limit(ROOM_AT_ONCE).toList().forEach(client -> client.close("room"));
     }
 
