Failing test: a parent that ignores SIGHUP or SIGTERM leaves the sidecar deaf to them

An ignored signal is inherited, and the JVM leaves HUP, INT and TERM ignored if they were at its start.

The test starts the real process by the deploy file's command under nohup and under a shell that ignores both signals.

--- a/sidecar/src/test/java/trestlegrade/integration/SidecarFixture.java
+++ b/sidecar/src/test/java/trestlegrade/integration/SidecarFixture.java
@@ -68,6 +68,9 @@
     /** Whether the log names each class that is loaded. */
     boolean verbose;
 
+    /** Put before the command line of the program; it has to end in that process. */
+    List<String> launcher = List.of();
+
     /** Further variables of the process. */
     final Map<String, String> environment = new HashMap<>();
 
@@ -107,6 +110,7 @@
         if (descriptorsBounded) {
             command.addAll(List.of("sh", "-c", "ulimit -n " + sockets + " && exec \"$@\"", "sh"));
         }
+        command.addAll(launcher);
         command.addAll(ProgramFiles.serveCommand());
         ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
