The start command resets ignored SIGHUP and SIGTERM; a start that leaves them ignored says so

Cause: the parent (nohup, a supervisor, a shell) ignored the signals. An ignored signal is inherited, and the JVM leaves HUP, INT and TERM ignored if they were at its start; sun.misc.Signal.handle then changes nothing and throws nothing. The reload never came, and the refused connects at the old address went on renewing the lease.

A program can't undo it from inside a JVM, so where another command left one ignored (SigIgn in /proc/self/status) it logs serve code=signals-ignored and shows the gauge ignored_signals.

--- a/lab/src/main/java/trestlegrade/lab/ProgramFiles.java
+++ b/lab/src/main/java/trestlegrade/lab/ProgramFiles.java
@@ -21,8 +21,19 @@
                 .findFirst();
     }
 
-    /** A sidecar's command line as in {@code deploy/balancer.toml}; its directory is the root of the project. */
+    /**
+     * A sidecar's command line as in {@code deploy/balancer.toml}; its directory is the root of the project. It resets
+     * the signals that the parent may ignore, which a JVM can't.
+     */
     public static List<String> serveCommand() {
-        return List.of("java", "-XX:SharedArchiveFile=" + CLASS_ARCHIVE, "@" + JVM_OPTIONS, "-jar", JAR, "serve");
+        return List.of(
+                "env",
+                "--default-signal=HUP,TERM",
+                "java",
+                "-XX:SharedArchiveFile=" + CLASS_ARCHIVE,
+                "@" + JVM_OPTIONS,
+                "-jar",
+                JAR,
+                "serve");
     }
 }
--- a/sidecar/src/main/java/trestlegrade/runtime/SidecarProcess.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/SidecarProcess.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.tinylog.Logger;
@@ -9,6 +10,7 @@
 import trestlegrade.config.SidecarConfigReader;
 import trestlegrade.metrics.AsyncLog;
 import trestlegrade.metrics.Counters;
+import trestlegrade.runtime.IgnoredSignals.HandledSignal;
 
 /** A sidecar as a process of its own: it starts, reloads on SIGHUP, and shuts down gracefully on SIGTERM. */
 public final class SidecarProcess {
@@ -56,11 +58,21 @@
         });
         new ConfigReloader(config, environment, log, read -> context.runOnContext(v -> sidecar.reload(read)))
                 .installSignalHandler();
+        reportIgnoredSignals();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(context)));
         await(startFailed);
         log.flush();
     }
 
+    /** The JVM can't undo it, so that the operators have to be told: reloads or the word to end would be lost. */
+    private void reportIgnoredSignals() {
+        List<HandledSignal> ignored = IgnoredSignals.ofThisProcess();
+        counters.gauge("ignored_signals", ignored::size);
+        if (!ignored.isEmpty()) {
+            log.add(() -> Logger.error("serve code=signals-ignored signals={}", ignored));
+        }
+    }
+
     /**
      * SIGTERM: goes on serving through the phases of the graceful shutdown, until just before the operators kill the
      * process at the latest.
--- a/sidecar/src/test/java/trestlegrade/DeployFileTest.java
+++ b/sidecar/src/test/java/trestlegrade/DeployFileTest.java
@@ -11,6 +11,7 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import trestlegrade.lab.ProgramFiles;
 
 /**
  * deploy/balancer.toml names each file of the decisions, for it takes no folder there; a new class is easily forgotten.
@@ -26,18 +27,25 @@
                     .map(file -> (ROOT.toString().isEmpty() ? file : ROOT.relativize(file)).toString())
                     .sorted()
                     .toList();
-            assertEquals(present, paths("policy").stream().sorted().toList());
+            assertEquals(present, values("policy").stream().sorted().toList());
         }
     }
 
     @Test
     void namesOnlyWhatExists() throws IOException {
-        for (String path : paths("node")) {
+        for (String path : values("node")) {
             assertTrue(Files.exists(ROOT.resolve(path)), path);
         }
     }
 
-    private static List<String> paths(String key) throws IOException {
+    @Test
+    void theTestsStartTheProgramAsTheOperatorsDo() throws IOException {
+        assertEquals(
+                "exec " + String.join(" ", ProgramFiles.serveCommand()),
+                values("run").get(0));
+    }
+
+    private static List<String> values(String key) throws IOException {
         for (String line : Files.readAllLines(ROOT.resolve("deploy/balancer.toml"))) {
             if (line.startsWith(key + " = ")) {
                 return Pattern.compile("\"([^\"]+)\"")
