ofTwoWordsToRereadTheLaterHolds: the test waits for the reader, and loses no text or signal

What was seen: "not within 20000 ms" twice in some 70 runs beside builds; the second text was never read.

Cause, in the test, by evidence: the stack of a failing run shows the second SIGHUP's thread waiting in open() of the pipe, and the same text written once more is read at once: the test had opened the pipe for both, written and closed it before that thread was there, and what is written to a pipe that nobody has open is lost. With a writer that waits for a reader one of 26 runs failed in another way, no second reader came in 20 s and the log has one read: two signals within 200 ms of which none was delivered are one signal, as the system's pages say.

Change: a process opens the pipe, which waits for the reader; the second signal goes out once the first is being read; the texts are written once their readers are there. What has to hold is the same: both are read whole, one behind the other, and the later one counts. So is the limit of 20 s for each step. Without the lock that puts one reading behind the other it fails, in two runs of two.

--- a/sidecar/src/test/java/trestlegrade/integration/GracefulShutdownIT.java
+++ b/sidecar/src/test/java/trestlegrade/integration/GracefulShutdownIT.java
@@ -10,7 +10,9 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
-import java.io.RandomAccessFile;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -225,24 +227,48 @@
         Files.delete(file);
         assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
         signal("HUP");
-        pause(200);
+        OutputStream first = readBySidecar(file);
         signal("HUP");
         pause(200);
-        for (StubDiscovery place : places) {
-            int read = log().split("code=read", -1).length;
-            // Opened for both, it waits for no reader: should there be none, what is written is lost, and told by the
-            // log.
-            try (RandomAccessFile pipe = new RandomAccessFile(file.toFile(), "rw")) {
-                pipe.write(before.copy()
-                        .put("discovery", "127.0.0.1:" + place.port())
-                        .encode()
-                        .getBytes(StandardCharsets.UTF_8));
-            }
-            eventually(() -> log().split("code=read", -1).length == read + 1);
-        }
+        giveDiscovery(first, before, places[0]);
+        giveDiscovery(readBySidecar(file), before, places[1]);
         eventually(() -> !places[1].seen.isEmpty());
     }
 
+    /**
+     * Opens a pipe for writing once the sidecar has opened it for reading, and fails if it doesn't: what is written to
+     * a pipe that nobody has open is lost, and of two signals of which none was delivered yet only one is. Another
+     * process opens it, since a thread that waits there can't be interrupted.
+     */
+    private OutputStream readBySidecar(Path pipe) throws Exception {
+        Process writer = new ProcessBuilder(
+                        "sh", "-c", "exec 3> \"$0\" && echo opened && exec cat >&3", pipe.toString())
+                .start();
+        opened.add(writer::destroyForcibly);
+        eventually(() -> available(writer) > 0);
+        return writer.getOutputStream();
+    }
+
+    private static int available(Process process) {
+        try {
+            return process.getInputStream().available();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Writes a configuration with another place of discovery, and waits until the sidecar has read it. */
+    private void giveDiscovery(OutputStream pipe, JsonObject before, StubDiscovery place) throws Exception {
+        int read = log().split("code=read", -1).length;
+        try (pipe) {
+            pipe.write(before.copy()
+                    .put("discovery", "127.0.0.1:" + place.port())
+                    .encode()
+                    .getBytes(StandardCharsets.UTF_8));
+        }
+        eventually(() -> log().split("code=read", -1).length == read + 1);
+    }
+
     /** Connections are kept until the end is near, but not for one that has stopped in the midst of its request. */
     @Test
     void halfARequestIsNotHeldUntilTheEnd() throws Exception {
