--- a/sidecar/src/main/java/trestlegrade/discovery/DiscoveryClient.java
+++ b/sidecar/src/main/java/trestlegrade/discovery/DiscoveryClient.java
@@ -36,6 +36,7 @@
     private final EndpointListLease lease;
     private final HttpClientAgent client;
     private final WatchSchedule schedule;
+    private final ListAgeWarning ageWarning = new ListAgeWarning();
     private final DiscoveryWatch.Owner watchOwner = new WatchOwner();
     private final Promise<Void> firstMessage = Promise.promise();
     private SocketAddress address;
@@ -154,9 +155,10 @@
         watch.open(client, schedule.connectTimeoutMillis());
     }
 
-    /** Runs at short intervals: notices the end of the lease and a silent watch. */
+    /** Runs at short intervals: notices the end of the lease, a list that has grown old, and a silent watch. */
     private void check() {
         logLeaseChange();
+        warnOfOldList();
         if (current == null) {
             return;
         }
@@ -183,9 +185,18 @@
         }
         leaseExpired = expired;
         counters.leasesExpired += expired ? 1 : 0;
-        String code = expired ? "expired" : "renewed";
-        long heldVersion = version;
+        logList(expired ? "expired" : "renewed", ageMillis());
+    }
+
+    private void warnOfOldList() {
         long unconfirmedMillis = ageMillis();
+        if (ageWarning.isDue(unconfirmedMillis)) {
+            logList("unconfirmed", unconfirmedMillis);
+        }
+    }
+
+    private void logList(String code, long unconfirmedMillis) {
+        long heldVersion = version;
         counters.log.add(
                 () -> Logger.warn("list code={} version={} unconfirmed_ms={}", code, heldVersion, unconfirmedMillis));
     }
