The soak's delay keeps the gaps between bytes

Cause, the rig's part: FaultProxy slept 200 ms before each chunk, one after the other, so that two answers written 4 ms apart arrived some 200 ms apart. A delay on a network makes all bytes late and keeps their gaps.

Each chunk now has the time at which it is due, and the relay reads on meanwhile, which its comment said and it didn't do while it slept. Nothing of the auditor's checks changes.

--- a/lab/src/main/java/trestlegrade/lab/soak/FaultProxy.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/FaultProxy.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -96,7 +97,7 @@
         }
     }
 
-    /** Delivers all bytes so many milliseconds later; 0 for at once. */
+    /** Delivers all bytes so many milliseconds after they came, with the gaps between them kept; 0 for at once. */
     void delay(int milliseconds) {
         delayMilliseconds = milliseconds;
     }
@@ -138,51 +139,64 @@
 
     private void pump(Link link, Socket from, Socket to, boolean up) throws IOException, InterruptedException {
         byte[] bytes = new byte[CHUNK];
+        DelayLine line = new DelayLine();
         try {
-            int count;
-            while ((count = from.getInputStream().read(bytes)) >= 0) {
-                if (up) {
-                    link.sent.add(count, System.nanoTime());
+            int count = 0;
+            while (count >= 0) {
+                deliverDue(line, link, to, up);
+                from.setSoTimeout(line.millisecondsToNext(System.nanoTime()));
+                try {
+                    count = from.getInputStream().read(bytes);
+                } catch (SocketTimeoutException e) {
+                    continue;
                 }
-                boolean resets = up && resetsNow();
-                if (resets && count % 2 == 0) {
-                    link.reset();
-                    return;
+                long now = System.nanoTime();
+                if (up && count > 0) {
+                    link.sent.add(count, now);
                 }
-                await(up);
-                write(to, bytes, count);
-                if (resets) {
+                boolean resets = up && count > 0 && resetsNow();
+                if (resets && count % 2 == 0) {
                     link.reset();
                     return;
                 }
+                line.add(bytes, Math.max(0, count), now, delayMilliseconds, resets);
+            }
+            while (!line.isEmpty()) {
+                Thread.sleep(line.millisecondsToNext(System.nanoTime()));
+                deliverDue(line, link, to, up);
             }
-            await(up);
         } finally {
             // Neither side ends its sending alone: the end of one is the end of the connection.
             link.close();
         }
     }
 
-    private synchronized boolean resetsNow() {
-        return resetEvery > 0 && ++chunks % resetEvery == 0;
+    /** Writes what is due, unless this direction is held. */
+    private void deliverDue(DelayLine line, Link link, Socket to, boolean up) throws IOException, InterruptedException {
+        while (System.nanoTime() >= (up ? holdUpUntil : holdDownUntil)) {
+            DelayLine.Chunk chunk = line.pollDue(System.nanoTime());
+            if (chunk == null) {
+                return;
+            }
+            write(to, chunk.bytes());
+            if (chunk.resetBehind()) {
+                link.reset();
+                return;
+            }
+        }
     }
 
-    private void await(boolean up) throws InterruptedException {
-        if (delayMilliseconds > 0) {
-            Thread.sleep(delayMilliseconds);
-        }
-        while (System.nanoTime() < (up ? holdUpUntil : holdDownUntil)) {
-            Thread.sleep(5);
-        }
+    private synchronized boolean resetsNow() {
+        return resetEvery > 0 && ++chunks % resetEvery == 0;
     }
 
-    private void write(Socket to, byte[] bytes, int count) throws IOException, InterruptedException {
+    private void write(Socket to, byte[] bytes) throws IOException, InterruptedException {
         if (!pieces) {
-            to.getOutputStream().write(bytes, 0, count);
+            to.getOutputStream().write(bytes);
             return;
         }
-        for (int i = 0; i < count; i += PIECE) {
-            to.getOutputStream().write(bytes, i, Math.min(PIECE, count - i));
+        for (int i = 0; i < bytes.length; i += PIECE) {
+            to.getOutputStream().write(bytes, i, Math.min(PIECE, bytes.length - i));
             Thread.sleep(i < 10 * PIECE ? 1 : 0);
         }
     }
