Endpoints that send late excess bytes get one attempt a connection for a minute

What callers saw: answers to other clients' requests, where an endpoint answers twice and the second answer comes later than the 31 ms for which a connection rests behind an answer.

Cause: a second answer behind the quarantine is taken for the answer to the next attempt on its connection. Excess bytes that met an idle connection told of such an endpoint each time, and cost that one connection alone.

Change: SingleUseEndpoints. For a minute after bytes that came over 15 ms (half of the quarantine) behind an answer, each connection to that endpoint carries one attempt: it still rests behind the answer, to show whether the endpoint goes on, and is closed then (pooled:single-use). Idle ones that had carried an attempt are closed at once. Why this works: from the first late bytes on no attempt can meet an answer to another. Bytes that come sooner are kept apart by the quarantine alone.

Evidence: PooledConnectionsIT.aSecondAnswerBehindTheQuarantineReachesNobodyOnceOneWasSeen fails on the program before (t0 got another's answer, 2 of 2) and passes now.

--- a/sidecar/src/main/java/trestlegrade/outbound/ConnectionPool.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/ConnectionPool.java
@@ -41,6 +41,10 @@
     /** An endpoint that has begun on an attempt breaks it later than one that had closed the connection before. */
     private static final long BROKE_AT_ONCE_TICKS = 5 * MonotonicClock.TICKS_PER_MILLI;
 
+    /** Half of the quarantine: what comes sooner is kept from other attempts by that alone, with as much to spare. */
+    private static final long LATE_EXCESS_BYTES_TICKS =
+            AttemptSender.QUARANTINE_MILLIS * MonotonicClock.TICKS_PER_MILLI / 2;
+
     private final Vertx vertx;
     private final EventLoopContext loop;
     private final Counters counters;
@@ -50,6 +54,7 @@
     private final DescriptorBudget descriptors;
     private final LongObjectHashMap<Deque<PooledConnection>> idleByEndpoint = new LongObjectHashMap<>();
     private final ReuseAgeBound reuseAgeBound;
+    private final SingleUseEndpoints singleUse = new SingleUseEndpoints();
     private final long sweepTimer;
     private long connectTimeoutMillis;
     private long maxIdleTicks;
@@ -157,9 +162,29 @@
                 loop.clock().now(),
                 listener);
         connection.whenClosed(() -> closed(connection));
+        connection.whenExcessBytes(() -> excessBytes(connection));
         loop.lag().caughtUp(() -> listener.connected(attempt, connection));
     }
 
+    /** Late ones could have met an attempt. A connection in quarantine stays, to show whether the endpoint goes on. */
+    private void excessBytes(PooledConnection from) {
+        long now = loop.clock().now();
+        if (now - from.idleSinceTicks < LATE_EXCESS_BYTES_TICKS) {
+            return;
+        }
+        singleUse.begin(from.endpoint, now);
+        Deque<PooledConnection> idle = idleOf(from.endpoint);
+        idle.stream()
+                .filter(connection -> connection.quarantinePassed && connection.attemptsCarried > 0)
+                .toList()
+                .forEach(connection -> retire(idle, connection));
+    }
+
+    private static void retire(Deque<PooledConnection> idle, PooledConnection connection) {
+        idle.remove(connection);
+        connection.close(ConnectionEnd.SINGLE_USE);
+    }
+
     private void closed(PooledConnection connection) {
         descriptors.release();
         connection.closed = true;
@@ -212,9 +237,19 @@
         quickAckSupported = quickAckSupported && connection.acknowledgeAtOnce();
         connection.quarantinePassed = connection.attemptsCarried == 0;
         int quarantine = ++connection.quarantines;
-        vertx.setTimer(
-                quarantineMillis,
-                t -> vertx.setTimer(1, u -> connection.quarantinePassed |= connection.quarantines == quarantine));
+        vertx.setTimer(quarantineMillis, t -> vertx.setTimer(1, u -> endQuarantine(connection, quarantine)));
+    }
+
+    private void endQuarantine(PooledConnection connection, int quarantine) {
+        boolean carriedNone = connection.attemptsCarried == 0;
+        if (carriedNone || connection.quarantines != quarantine || connection.closed || connection.end != null) {
+            return;
+        }
+        if (singleUse.contains(connection.endpoint, loop.clock().now())) {
+            retire(idleOf(connection.endpoint), connection);
+        } else {
+            connection.quarantinePassed = true;
+        }
     }
 
     private Deque<PooledConnection> idleOf(Endpoint endpoint) {
@@ -231,6 +266,7 @@
         closeIdleSinceBefore(endpoint, ConnectionEnd.ENDPOINT_OUTDATED, Long.MAX_VALUE);
         if (!endpoint.active) {
             idleByEndpoint.remove(endpoint.id);
+            singleUse.remove(endpoint);
         }
     }
 
