SIGHUP is handled from the program's first line on, and kept until it can be done

Cause: the handler was installed when the sidecar had been built, some 200 ms behind the start. Until then the JVM's own handler ends the process.

Change: ReloadSignal is installed as serve begins and keeps a SIGHUP until the reloader is there, which then reads the file once.

Evidence: ConfigReloadIT.aReloadDuringTheStartIsKeptUntilItCanBeDone fails on the program before (not healthy within 10 s) and passes now.

--- a/sidecar/src/main/java/trestlegrade/Main.java
+++ b/sidecar/src/main/java/trestlegrade/Main.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import trestlegrade.runtime.ReloadSignal;
 import trestlegrade.runtime.SidecarProcess;
 import trestlegrade.runtime.StartupCheck;
 import trestlegrade.simulator.MalformedFrameException;
@@ -71,7 +72,11 @@
             mixinStandardHelpOptions = true,
             description = "Serves as one sidecar, as the file that LB_CONFIG names says, until SIGTERM.")
     public int serve() {
-        SidecarProcess.serve(System.getenv());
+        return serve(ReloadSignal.install());
+    }
+
+    private static int serve(ReloadSignal reloadSignal) {
+        SidecarProcess.serve(System.getenv(), reloadSignal);
         return CommandLine.ExitCode.SOFTWARE;
     }
 
@@ -95,6 +100,8 @@
     }
 
     private static int checkStartup(String command) {
+        // The class data archive is made by this command, and holds what it uses.
+        ReloadSignal.install();
         try {
             System.out.println(command + ": ready after " + StartupCheck.run() + " transactions");
             return CommandLine.ExitCode.OK;
@@ -109,7 +116,7 @@
         // The JVM's class data archive cannot hold picocli, whose class files are of an old format. Loading it costs as
         // much as the rest of the start, and after a release many sidecars start at once.
         if (args.length == 1 && args[0].equals("serve")) {
-            System.exit(new Main().serve());
+            System.exit(serve(ReloadSignal.install()));
         }
         System.exit(new CommandLine(new Main()).execute(args));
     }
--- a/sidecar/src/main/java/trestlegrade/runtime/ConfigReloader.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/ConfigReloader.java
@@ -26,13 +26,11 @@
         this.target = target;
     }
 
-    /** Reloads at each SIGHUP. A JVM ends on it by default, and only this internal class of the JDK can change that. */
-    void installSignalHandler() {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> reload());
-    }
-
-    /** Each signal has a thread of its own; synchronized, so that the last one to read is the last one to hand over. */
-    private synchronized void reload() {
+    /**
+     * Reads the file and hands it over. Each signal has a thread of its own; synchronized, so that the last one to read
+     * is the last one to hand over.
+     */
+    synchronized void reload() {
         SidecarConfig config;
         try {
             config = SidecarConfigReader.read(environment);
--- a/sidecar/src/main/java/trestlegrade/runtime/SidecarProcess.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/SidecarProcess.java
@@ -16,6 +16,7 @@
 /** A sidecar as a process of its own: it starts, reloads on SIGHUP, and shuts down gracefully on SIGTERM. */
 public final class SidecarProcess {
     private final Map<String, String> environment;
+    private final ReloadSignal reloadSignal;
     private final SidecarConfig config;
     private final AsyncLog log = new AsyncLog();
     private final Counters counters = new Counters(log);
@@ -24,7 +25,8 @@
     private final AtomicBoolean draining = new AtomicBoolean();
     private final CountDownLatch startFailed = new CountDownLatch(1);
 
-    private SidecarProcess(SidecarConfig config, Map<String, String> environment) {
+    private SidecarProcess(SidecarConfig config, Map<String, String> environment, ReloadSignal reloadSignal) {
+        this.reloadSignal = reloadSignal;
         this.config = config;
         this.environment = environment;
         sidecar = new Sidecar(config, counters);
@@ -35,8 +37,9 @@
      * is on the standard error output or in the log.
      *
      * @param environment the variables of the process; LB_CONFIG names the configuration file
+     * @param reloadSignal has the file read again
      */
-    public static void serve(Map<String, String> environment) {
+    public static void serve(Map<String, String> environment, ReloadSignal reloadSignal) {
         SidecarConfig config;
         try {
             config = SidecarConfigReader.read(environment);
@@ -44,7 +47,7 @@
             System.err.println("serve: " + e.getMessage());
             return;
         }
-        new SidecarProcess(config, environment).run();
+        new SidecarProcess(config, environment, reloadSignal).run();
     }
 
     private void run() {
@@ -58,8 +61,9 @@
                 startFailed.countDown();
             }
         });
-        new ConfigReloader(config, environment, log, read -> context.runOnContext(v -> sidecar.reload(read)))
-                .installSignalHandler();
+        ConfigReloader reloader =
+                new ConfigReloader(config, environment, log, read -> context.runOnContext(v -> sidecar.reload(read)));
+        reloadSignal.whenReceived(reloader::reload);
         reportIgnoredSignals();
         // Not by the shutdown hook alone: the kill comes a fixed time after the signal, and each thread between the two
         // may wait for a core.
--- a/sidecar/src/test/java/trestlegrade/integration/ConfigReloadIT.java
+++ b/sidecar/src/test/java/trestlegrade/integration/ConfigReloadIT.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static trestlegrade.integration.Await.eventually;
 import static trestlegrade.integration.Await.pause;
+import static trestlegrade.integration.Await.within;
 import static trestlegrade.integration.HttpText.answer;
 import static trestlegrade.integration.HttpText.transaction;
 import static trestlegrade.integration.StubServer.HANG;
@@ -77,4 +78,16 @@
         }
         assertEquals(before, drained.seen.size());
     }
+
+    /** A SIGHUP while the program was starting ended it with status 129: the JVM's own handler was still in place. */
+    @Test
+    void aReloadDuringTheStartIsKeptUntilItCanBeDone() throws Exception {
+        endpoint(r -> answer(200, "", "good"));
+        verbose = true;
+        start();
+        eventually(() -> log().contains("trestlegrade.runtime.SidecarProcess "));
+        signal("HUP");
+        within(10_000, () -> health() == 200);
+        eventually(() -> log().contains("reload code=read"));
+    }
 }
