The auditor counts word of a server's leave for that leave alone

Cause: RunHistory.notifiedAt kept word of an earlier leave that came behind the server's return, as a list that tells all changes brings it, and counted it for the next leave.

Each leave and each word of one now carry the index of the list, and word counts for a leave from that index on. As strict as before: AuditorTest plants word of the second leave that is over a second old, behind late word of the first, and a breach by late word; both are found. The allowed case fails without the comparison ("sent 3902 ms after word").

--- a/lab/src/main/java/trestlegrade/lab/soak/Event.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/Event.java
@@ -36,14 +36,17 @@
     /** A server began to work on an attempt, with whatever effect that has. */
     record AttemptRun(long at, String id, String server) implements OfRequest {}
 
-    /** A server drains or is gone, in discovery's list from now on. */
-    record ServerLeaves(long at, String server) implements Event {}
+    /** A server drains or is gone, in discovery's list with this index and from then on. */
+    record ServerLeaves(long at, String server, int index) implements Event {}
 
     /** A server that had left is in discovery's list again. */
     record ServerReturns(long at, String server) implements Event {}
 
-    /** Discovery wrote to a sidecar, over a link that passes bytes on, that a server drains or is gone. */
-    record LeaveTold(long at, String sidecar, String server) implements Event {}
+    /**
+     * Discovery wrote to a sidecar, over a link that passes bytes on, that a server drains or is gone since the list
+     * with this index.
+     */
+    record LeaveTold(long at, String sidecar, String server, int index) implements Event {}
 
     /** Nobody can reach discovery from now on. */
     record DiscoveryDown(long at) implements Event {}
--- a/lab/src/main/java/trestlegrade/lab/soak/RunHistory.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/RunHistory.java
@@ -83,17 +83,23 @@
     /** When a sidecar counts as told that a server has left at that time; the largest value if it has not left. */
     long notifiedAt(String sidecar, String server, long at) {
         long left = Long.MAX_VALUE;
+        int index = Integer.MAX_VALUE;
         long told = Long.MAX_VALUE;
         for (Event event : ofServers.getOrDefault(server, List.of())) {
             if (event.at() > at) {
                 break;
             }
-            if (event instanceof Event.ServerLeaves) {
+            if (event instanceof Event.ServerLeaves leaves) {
                 left = Math.min(left, event.at());
+                index = Math.min(index, leaves.index());
             } else if (event instanceof Event.ServerReturns) {
                 left = Long.MAX_VALUE;
+                index = Integer.MAX_VALUE;
                 told = Long.MAX_VALUE;
-            } else if (event instanceof Event.LeaveTold word && word.sidecar().equals(sidecar)) {
+            } else if (event instanceof Event.LeaveTold word
+                    && word.sidecar().equals(sidecar)
+                    && word.index() >= index) {
+                // Word of an earlier leave may come behind the return from that.
                 told = Math.min(told, event.at());
             }
         }
--- a/lab/src/main/java/trestlegrade/lab/soak/StandInDiscovery.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/StandInDiscovery.java
@@ -17,13 +17,14 @@
 
 /** Discovery: a list of servers, and watches that tell its changes. Each sidecar comes by two relays of its own. */
 final class StandInDiscovery implements AutoCloseable {
+    private static final int FIRST_INDEX = 1;
     private static final long BEAT_MILLISECONDS = 2_000;
     private static final int CROWDED_MILLISECONDS = 2_000;
     private static final int SLOW_MILLISECONDS = 900;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-    /** What is listed of one server. */
-    private record Row(String name, int port, String zone, String status, long since) {
+    /** What is listed of one server since the list with this index. */
+    private record Row(String name, int port, String zone, String status, long since, int index) {
         ObjectNode json() {
             return JsonNodeFactory.instance
                     .objectNode()
@@ -66,7 +67,7 @@
 
     /** Lists a server, as active, before any sidecar has started. */
     synchronized void first(String server, int port, String zone) {
-        rows.put(server, new Row(server, port, zone, "active", 0));
+        rows.put(server, new Row(server, port, zone, "active", 0, FIRST_INDEX));
     }
 
     /** The list of now. */
@@ -76,11 +77,14 @@
         return line(true, entries);
     }
 
+    /** Of the list of now. */
+    private synchronized int index() {
+        return changes.size() + FIRST_INDEX;
+    }
+
     private ObjectNode line(boolean whole, ArrayNode entries) {
-        ObjectNode line = JsonNodeFactory.instance
-                .objectNode()
-                .put("index", changes.size() + 1)
-                .put("snapshot", whole);
+        ObjectNode line =
+                JsonNodeFactory.instance.objectNode().put("index", index()).put("snapshot", whole);
         line.set("endpoints", entries);
         return line;
     }
@@ -89,13 +93,13 @@
     synchronized void change(String server, String status) {
         Row row = rows.get(server);
         long since = status.equals("active") ? System.currentTimeMillis() : row.since;
-        Row changed = new Row(server, row.port, row.zone, status, since);
+        Row changed = new Row(server, row.port, row.zone, status, since, index() + 1);
         rows.put(server, changed);
         changes.add(changed);
         recorder.add(
                 status.equals("active")
                         ? new Event.ServerReturns(System.nanoTime(), server)
-                        : new Event.ServerLeaves(System.nanoTime(), server));
+                        : new Event.ServerLeaves(System.nanoTime(), server, changed.index));
         notifyAll();
     }
 
@@ -218,8 +222,8 @@
             if (link != null && !link.closed() && !each.getKey().holdsAnswers()) {
                 news.stream()
                         .filter(row -> !row.status.equals("active"))
-                        .forEach(
-                                row -> recorder.add(new Event.LeaveTold(System.nanoTime(), each.getValue(), row.name)));
+                        .forEach(row -> recorder.add(
+                                new Event.LeaveTold(System.nanoTime(), each.getValue(), row.name, row.index)));
             }
         }
     }
--- a/lab/src/test/java/trestlegrade/lab/soak/AuditorTest.java
+++ b/lab/src/test/java/trestlegrade/lab/soak/AuditorTest.java
@@ -40,6 +40,28 @@
                 planted(AuditRule.REFUSED_AFTER_RUN, write(), seen(2, 900), ran(3), answered(30, 503)),
                 planted(AuditRule.DRAIN, leaves(-1_200), told(-1_100), read(), seen(2, 900), ran(3), answered(9, 200)),
                 planted(AuditRule.DRAIN, leaves(-7_200), read(), seen(2, 900), ran(3), answered(9, 200)),
+                planted(
+                        AuditRule.DRAIN,
+                        leaves(-5_000, 2),
+                        returns(-4_000),
+                        told(-3_900, 2),
+                        leaves(-1_300, 4),
+                        told(-1_100, 4),
+                        read(),
+                        seen(2, 900),
+                        ran(3),
+                        answered(9, 200)),
+                planted(
+                        AuditRule.DRAIN,
+                        leaves(-5_000, 2),
+                        told(-4_900, 2),
+                        returns(-4_500),
+                        leaves(-4_000, 4),
+                        told(-1_100, 5),
+                        read(),
+                        seen(2, 900),
+                        ran(3),
+                        answered(9, 200)),
                 planted(AuditRule.DEADLINE_TOLD, read(), seen(200, 980), ran(201), answered(220, 200)),
                 planted(AuditRule.HALF_REQUEST, new Event.HalfRequestEnded(AT, "n0", 4_000 * MS)),
                 planted(AuditRule.PROCESS, new Event.ProcessEnded(AT, "n0", 3, false)),
@@ -57,11 +79,22 @@
                         new Event.ConnectionLost(AT + 9 * MS, "x", "closed")),
                 planted(null, read(), new Event.ClientClosed(AT + 5 * MS, "x"), seen(90, 800)),
                 planted(null, leaves(-1_200), told(-1_000), read(), seen(2, 900), ran(3), answered(9, 200)),
+                // Word of the first leave comes behind the return, as one list that tells both.
+                planted(
+                        null,
+                        leaves(-5_000, 2),
+                        returns(-4_000),
+                        told(-3_900, 2),
+                        leaves(-500, 4),
+                        read(),
+                        seen(2, 900),
+                        ran(3),
+                        answered(9, 200)),
                 planted(
                         null,
                         leaves(-9_000),
                         told(-8_000),
-                        new Event.ServerReturns(AT - 500 * MS, "s"),
+                        returns(-500),
                         read(),
                         seen(2, 900),
                         ran(3),
@@ -107,11 +140,23 @@
     }
 
     private static Event leaves(long after) {
-        return new Event.ServerLeaves(AT + after * MS, "s");
+        return leaves(after, 2);
+    }
+
+    private static Event leaves(long after, int index) {
+        return new Event.ServerLeaves(AT + after * MS, "s", index);
+    }
+
+    private static Event returns(long after) {
+        return new Event.ServerReturns(AT + after * MS, "s");
     }
 
     private static Event told(long after) {
-        return new Event.LeaveTold(AT + after * MS, "n0", "s");
+        return told(after, 2);
+    }
+
+    private static Event told(long after, int index) {
+        return new Event.LeaveTold(AT + after * MS, "n0", "s", index);
     }
 
     @ParameterizedTest
