The auditor takes an answer behind another on its connection as due with that one

Cause: each was the last of three requests sent at once; the one before it was at an endpoint whose answers were held, and had longer to wait. HTTP/1.1 answers in the order of the requests, and the auditor counted the deadline of the one behind by itself.

PROTOCOL.md has clients send one at a time.

Such an answer is now due at its deadline, or with the answer before it if that is later, with the same half second; it still must not be sent on behind its deadline.

--- a/lab/src/main/java/trestlegrade/lab/soak/Auditor.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/Auditor.java
@@ -92,12 +92,12 @@
     }
 
     private void answer(String id, RequestHistory request, Event.AnswerRead answer) {
-        long late = answer.at() - request.sent.deadline();
+        long late = answer.at() - history.answerDue(request);
         breach(
                 AuditRule.ANSWER,
                 id,
                 request,
-                "answered " + milliseconds(late) + " ms behind its deadline",
+                "answered " + milliseconds(late) + " ms behind the time at which it was due",
                 late <= RunHistory.LATE_ANSWER + history.allowance(request.sent.sidecar(), answer.at())
                         || history.excused(request, "paused", "killed"));
         if (answer.status() == 200) {
--- a/lab/src/main/java/trestlegrade/lab/soak/ClientApplication.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/ClientApplication.java
@@ -99,6 +99,11 @@
 
     /** Writes a request in so many parts. A request that could not be written whole was not sent. */
     private Open send(int parts) throws IOException, InterruptedException {
+        return send(parts, null);
+    }
+
+    /** As {@link #send(int)}, behind a request on the same connection that has no answer yet, or null. */
+    private Open send(int parts, Open behind) throws IOException, InterruptedException {
         boolean repeatable = random.nextInt(10) < 7;
         reused |= System.nanoTime() - connected > RESTED_NANOSECONDS;
         String id = "r" + IDS.incrementAndGet();
@@ -115,8 +120,14 @@
             long deadline = System.nanoTime() + patience * 1_000_000L;
             if (i == parts - 1) {
                 // Before the write, so that no attempt is seen before its request.
-                recorder.add(
-                        new Event.RequestSent(System.nanoTime(), id, sidecar.name(), repeatable, deadline, reused));
+                recorder.add(new Event.RequestSent(
+                        System.nanoTime(),
+                        id,
+                        sidecar.name(),
+                        repeatable,
+                        deadline,
+                        reused,
+                        behind == null ? null : behind.id));
             }
             try {
                 socket.getOutputStream().write(bytes, from, to - from);
@@ -137,7 +148,7 @@
         List<Open> sent = new ArrayList<>();
         try {
             for (int i = 0; i < PIPELINED; i++) {
-                sent.add(send(1));
+                sent.add(send(1, sent.isEmpty() ? null : sent.get(sent.size() - 1)));
             }
         } catch (IOException e) {
             lost(sent, "another could not be written");
--- a/lab/src/main/java/trestlegrade/lab/soak/Event.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/Event.java
@@ -9,8 +9,14 @@
         String id();
     }
 
-    /** The last byte of a request was written; {@code reused} says whether its connection had carried others. */
-    record RequestSent(long at, String id, String sidecar, boolean repeatable, long deadline, boolean reused)
+    /**
+     * The last byte of a request was written.
+     *
+     * @param reused whether its connection had carried others
+     * @param behind the request before it on its connection if that had no answer yet, else null
+     */
+    record RequestSent(
+            long at, String id, String sidecar, boolean repeatable, long deadline, boolean reused, String behind)
             implements OfRequest {}
 
     /** The last byte of an answer was read. */
--- a/lab/src/main/java/trestlegrade/lab/soak/RequestHistory.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/RequestHistory.java
@@ -32,4 +32,13 @@
                 .findFirst()
                 .orElse(Long.MAX_VALUE / 2);
     }
+
+    /** When its answer was read; a time long past if none was. */
+    long lastAnswerAt() {
+        return events.stream()
+                .filter(Event.AnswerRead.class::isInstance)
+                .mapToLong(Event::at)
+                .max()
+                .orElse(Long.MIN_VALUE);
+    }
 }
--- a/lab/src/main/java/trestlegrade/lab/soak/RunHistory.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/RunHistory.java
@@ -166,6 +166,15 @@
         return !event.toString().contains("sidecar=") || event.toString().contains("sidecar=" + sidecar + ",");
     }
 
+    /**
+     * When a request's answer is due: at its deadline. Answers come in the order of their requests, so one that waits
+     * behind another on its connection is due with the answer to that, if that is later.
+     */
+    long answerDue(RequestHistory request) {
+        RequestHistory before = request.sent.behind() == null ? null : requests.get(request.sent.behind());
+        return before == null ? request.sent.deadline() : Math.max(request.sent.deadline(), before.lastAnswerAt());
+    }
+
     /** One line of a story. */
     String line(Event event) {
         return milliseconds(event.at() - begun) + " ms " + shortened(event.toString());
