Ports of programs under test are reserved by a lock, for one test process at a time

What was seen: IgnoredSignalsIT passed 24 of 26 when two processes of it ran beside each other. Cause: both drew from a place given by the process id, and looked whether anything listened; a port is free by that look until the program that was started listens on it. The soak had the same, with places farther apart. ReservedPorts, for both, hands out a port to the process that holds the lock on its file.

Evidence: ReservedPortsTest lets another process begin in the same place: 100 ports, none twice.

--- a/lab/src/main/java/trestlegrade/lab/soak/SidecarProcess.java
+++ b/lab/src/main/java/trestlegrade/lab/soak/SidecarProcess.java
@@ -4,24 +4,18 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 import trestlegrade.lab.ProgramFiles;
+import trestlegrade.lab.ReservedPorts;
 
 /** The built program under one name: one process after the other on the same port. */
 final class SidecarProcess implements AutoCloseable {
     private static final long READY_WITHIN = TimeUnit.SECONDS.toNanos(30);
-    private static final int FIRST_PORT = 10_000;
-    private static final int PORTS = 20_000;
-    /** Runs beside each other begin far apart. */
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger((int) ProcessHandle.current().pid() * 211);
     /** Behind SIGTERM new connections go on coming for so long. */
     private static final long CONNECTS_AFTER_TERM = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -68,23 +62,10 @@
         this.sidecars = sidecars;
         this.seed = seed + index;
         relays = new FaultProxy[] {discovery.relay(name), discovery.relay(name)};
-        port = freePort();
+        port = ReservedPorts.next();
         shim = new SystemCallShim(shimLibrary, this.folder.resolve("shim-control"), seed + index);
     }
 
-    /** Under the ports that the system hands out, so that nobody else is given it while a process is started anew. */
-    private static int freePort() throws IOException {
-        for (int i = 0; i < PORTS; i++) {
-            int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
-            try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return free.getLocalPort();
-            } catch (IOException e) {
-                // Somebody has it: the next one.
-            }
-        }
-        throw new IOException("no free port from " + FIRST_PORT + " on");
-    }
-
     String name() {
         return name;
     }
--- a/sidecar/src/test/java/trestlegrade/integration/SidecarFixture.java
+++ b/sidecar/src/test/java/trestlegrade/integration/SidecarFixture.java
@@ -8,15 +8,12 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -25,6 +22,7 @@
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
 import trestlegrade.lab.ProgramFiles;
+import trestlegrade.lab.ReservedPorts;
 
 /**
  * The built program in a process of its own, and all that it meets over loopback sockets: clients, endpoints and
@@ -33,10 +31,6 @@
 @Timeout(60)
 @Execution(ExecutionMode.CONCURRENT)
 abstract class SidecarFixture {
-    // Under the ports that the system hands out: tests that run beside this one cannot take it meanwhile.
-    private static final AtomicInteger PORTS =
-            new AtomicInteger(20_000 + (int) (ProcessHandle.current().pid() % 10_000));
-
     /** Holds the configuration and the log of the process. */
     @TempDir
     Path dir;
@@ -125,7 +119,7 @@
 
     /** A new configuration file: it listens on a port of its own. */
     JsonObject configuration() throws IOException {
-        port = freePort();
+        port = ReservedPorts.next();
         if (known == null) {
             known = new JsonArray();
             for (int i = 0; i < endpoints.size(); i++) {
@@ -238,16 +232,6 @@
         return true;
     }
 
-    private static int freePort() {
-        while (true) {
-            try (ServerSocket free = new ServerSocket(PORTS.incrementAndGet(), 1, InetAddress.getLoopbackAddress())) {
-                return free.getLocalPort();
-            } catch (IOException e) {
-                // Taken by somebody else: the next one.
-            }
-        }
-    }
-
     /** Threads stop one by one after the signal: what is written before the last has may still be read. */
     boolean stopped() {
         try (Stream<Path> tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
