GracefulShutdownIT: a request asked too late by the test itself may cross the end

What was seen: '' in place of an answer to the request behind the loop, once in four runs beside compilations, not in 250 since. Cause: the test's own thread. The loop ends 0.4 s behind the signal and the next request has to be written before idle connections are ended, at 0.725 s; a test that waits for a core for 0.3 s meets that end.

A request written within 0.7 s of the signal has to be answered, as before, however late the program is. One written later has to be answered if the endpoint saw it.

--- a/sidecar/src/test/java/trestlegrade/integration/GracefulShutdownIT.java
+++ b/sidecar/src/test/java/trestlegrade/integration/GracefulShutdownIT.java
@@ -120,7 +120,14 @@
             answered(ask(kept, "v" + System.nanoTime()));
         }
         endpoint.answers = r -> HANG;
-        answered(ask(kept, "w"));
+        boolean inTime = System.nanoTime() - start < 700_000_000L;
+        ask(kept, "w");
+        if (inTime) {
+            answered(kept);
+        } else {
+            // The test's own thread was late, and idle connections are ended by now: it may cross that, unread.
+            assertTrue(kept.read().startsWith("HTTP/1.1 ") || !endpoint.saw("w"), "read, and not answered");
+        }
         closedWithin(1_000, start, kept);
         assertTrue(process.waitFor(5, TimeUnit.SECONDS));
         assertEquals(0, process.exitValue());
