The stand-in endpoint of the tests answers on threads that are there already

MalformedResponsesIT.malformedResponseCountsAsAnAttemptThatMayHaveRun has a bound of 200 ms that takes in the test's endpoint; 104 of 279 ms had gone into the start of that endpoint's own thread. It takes a thread that waits now. The check and its bound are unchanged.

--- a/sidecar/src/test/java/trestlegrade/integration/StubServer.java
+++ b/sidecar/src/test/java/trestlegrade/integration/StubServer.java
@@ -11,6 +11,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
@@ -29,6 +33,13 @@
     /** Enough for the connects of all clients of a test at once. */
     private static final int BACKLOG = 1_024;
 
+    /** More than the tests that run beside each other use. */
+    private static final int READY_THREADS = 64;
+
+    private static final long KEPT_SECONDS = 60;
+    /** On a busy machine the start of a thread takes a hundred milliseconds, which would count as the program's. */
+    private static final ExecutorService BACKGROUND = readyThreads();
+
     /** All requests so far, whole, as text. */
     final List<String> seen = new CopyOnWriteArrayList<>();
 
@@ -144,14 +155,23 @@
     }
 
     static void inBackground(Work work) {
-        Thread thread = new Thread(() -> {
+        BACKGROUND.execute(() -> {
             try {
                 work.run();
             } catch (IOException e) {
                 // The other side or the test's end closed the socket.
             }
         });
-        thread.setDaemon(true);
-        thread.start();
+    }
+
+    private static ExecutorService readyThreads() {
+        ThreadPoolExecutor threads = new ThreadPoolExecutor(
+                READY_THREADS, Integer.MAX_VALUE, KEPT_SECONDS, TimeUnit.SECONDS, new SynchronousQueue<>(), work -> {
+                    Thread thread = new Thread(work, "stub-server");
+                    thread.setDaemon(true);
+                    return thread;
+                });
+        threads.prestartAllCoreThreads();
+        return threads;
     }
 }
