--- a/sidecar/src/main/java/trestlegrade/outbound/ConnectionPool.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/ConnectionPool.java
@@ -41,6 +41,10 @@
     /** An endpoint that has begun on an attempt breaks it later than one that had closed the connection before. */
     private static final long BROKE_AT_ONCE_TICKS = 5 * MonotonicClock.TICKS_PER_MILLI;
 
+    /** Half of the quarantine: what comes sooner is kept from other attempts by that alone, with as much to spare. */
+    private static final long LATE_EXCESS_BYTES_TICKS =
+            AttemptSender.QUARANTINE_MILLIS * MonotonicClock.TICKS_PER_MILLI / 2;
+
     private final Vertx vertx;
     private final EventLoopContext loop;
     private final Counters counters;
@@ -158,14 +162,18 @@
                 loop.clock().now(),
                 listener);
         connection.whenClosed(() -> closed(connection));
-        connection.whenExcessBytes(() -> excessBytes(connection.endpoint));
+        connection.whenExcessBytes(() -> excessBytes(connection));
         loop.lag().caughtUp(() -> listener.connected(attempt, connection));
     }
 
-    /** A connection in quarantine stays, to show whether the endpoint goes on, and is closed behind that. */
-    private void excessBytes(Endpoint endpoint) {
-        singleUse.begin(endpoint, loop.clock().now());
-        Deque<PooledConnection> idle = idleOf(endpoint);
+    /** Late ones could have met an attempt. A connection in quarantine stays, to show whether the endpoint goes on. */
+    private void excessBytes(PooledConnection from) {
+        long now = loop.clock().now();
+        if (now - from.idleSinceTicks < LATE_EXCESS_BYTES_TICKS) {
+            return;
+        }
+        singleUse.begin(from.endpoint, now);
+        Deque<PooledConnection> idle = idleOf(from.endpoint);
         idle.stream()
                 .filter(connection -> connection.quarantinePassed && connection.attemptsCarried > 0)
                 .toList()
