--- a/lab/src/main/java/trestlegrade/lab/ci/KnownFailures.java
+++ b/lab/src/main/java/trestlegrade/lab/ci/KnownFailures.java
@@ -83,6 +83,10 @@
 
     private static void judgeEntry(
             KnownFailure entry, List<TestResult> results, List<String> notes, List<String> problems) {
+        if (entry.isByHand()) {
+            notes.add("by hand: " + entry.command() + "; seen: " + entry.observation() + "; issue " + entry.issue());
+            return;
+        }
         List<TestResult> covered = results.stream()
                 .filter(entry::covers)
                 .filter(result -> result.outcome() != TestResult.Outcome.SKIPPED)
--- a/lab/src/test/java/trestlegrade/lab/ci/KnownFailuresTest.java
+++ b/lab/src/test/java/trestlegrade/lab/ci/KnownFailuresTest.java
@@ -99,6 +99,14 @@
                 List.of("passed, though listed: SoakIT.noRuleIsBroken (2 of 2 passed); issue 17"), verdict.notes());
     }
 
+    @Test
+    void anEntryOfARunByHandIsPrintedAndCoversNoTest() throws Exception {
+        KnownFailures list = KnownFailures.parse(List.of("by hand | soak --seed 9 | a late answer | 17"));
+        Verdict verdict = list.judge(List.of(LISTED_FAILS));
+        assertEquals(List.of("by hand: soak --seed 9; seen: a late answer; issue 17"), verdict.notes());
+        assertEquals(List.of("failed, and not listed: SoakIT.noRuleIsBroken"), verdict.problems());
+    }
+
     /** A test that was renamed, dropped or skipped would leave an entry that covers nothing. */
     @Test
     void anEntryWhoseTestDidNotRunFailsTheRun() throws Exception {
--- a/sidecar/src/test/java/trestlegrade/integration/ConfigReloadIT.java
+++ b/sidecar/src/test/java/trestlegrade/integration/ConfigReloadIT.java
@@ -90,4 +90,14 @@
         within(10_000, () -> health() == 200);
         eventually(() -> log().contains("reload code=read"));
     }
+
+    /** A SIGHUP before the program's first line ends the process: the JVM has no handler, or its own. */
+    @Test
+    void aReloadBeforeTheProgramBeginsDoesNotEndIt() throws Exception {
+        endpoint(r -> answer(200, "", "good"));
+        start();
+        signal("HUP");
+        within(10_000, () -> !process.isAlive() || health() == 200);
+        assertTrue(process.isAlive(), () -> "ended with status " + process.exitValue());
+    }
 }
