Review, case 2: a transaction taken just before a reload goes by another profile

TransactionAcceptor finds the profile's number, and PolicyExecutor takes the settings some milliseconds later, if a client has waited for a descriptor. A reload in between that adds or drops a class makes a transaction that must never run twice one that may be repeated.

--- a/review/standins/review/Main.java
+++ b/review/standins/review/Main.java
@@ -45,6 +45,7 @@
     private static Case caseOf(String name) {
         return switch (name) {
             case "hangs-on-pipelining" -> HangsOnPipelining::run;
+            case "runs-twice-after-reload" -> RunsTwiceAfterReload::run;
             default -> throw new IllegalArgumentException("no case " + name);
         };
     }
