--- a/review/standins/review/Main.java
+++ b/review/standins/review/Main.java
@@ -46,6 +46,7 @@
         return switch (name) {
             case "hangs-on-pipelining" -> HangsOnPipelining::run;
             case "runs-twice-after-reload" -> RunsTwiceAfterReload::run;
+            case "sends-to-drained" -> SendsToDrained::run;
             default -> throw new IllegalArgumentException("no case " + name);
         };
     }
