Decide on a transaction under the settings that it was accepted under

Cause: the acceptor looks up profile, customer and deadline in the settings in use when the request is read, but PolicyExecutor.requestArrived took the generation of settings only when its event ran. Where a client waited for a descriptor that is some milliseconds later, and with a reload in between the old index met the new list.

Change: PolicyExecutor.accept gives the request its generation in the turn of the loop in which its indexes are looked up; reload switches the accepting generation in the turn in which the acceptor gets the new settings. A generation counts what it accepted, so it is kept until the last of it has ended.

--- a/sidecar/src/main/java/trestlegrade/inbound/InboundRequest.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/InboundRequest.java
@@ -42,9 +42,9 @@
     public final List<OutboundAttempt> attempts = new ArrayList<>(INITIAL_ATTEMPTS_CAPACITY);
     /** The number of attempts whose end has not been reported yet. */
     public int attemptsInFlight;
-    /** The id that the policy executor assigns; 0 before that. */
+    /** The id that the policy executor assigns when it accepts the request. */
     public long id;
-    /** The settings under which the request was accepted and under which it ends; null before it is accepted. */
+    /** The settings under which the request was accepted and under which it ends. */
     public PolicyGeneration generation;
 
     private final Client client;
--- a/sidecar/src/main/java/trestlegrade/inbound/TransactionAcceptor.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/TransactionAcceptor.java
@@ -130,6 +130,7 @@
         connection.transactionAccepted(transaction);
         openTraceIds.add(traceId);
         counters.accepted++;
+        executor.accept(transaction);
         if (shutdown.isClosing()) {
             connection.setEndReason(ConnectionEndReason.SHUTTING_DOWN);
         }
--- a/sidecar/src/main/java/trestlegrade/runtime/PolicyExecutor.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/PolicyExecutor.java
@@ -79,23 +79,38 @@
     }
 
     /**
-     * Uses new settings for all transactions that arrive from now on, by beginning a new generation with the current
-     * endpoint list. Open transactions end under the settings that they were accepted under.
+     * Uses new settings for all transactions that are accepted from now on, by beginning a new generation with the
+     * current endpoint list. Open transactions end under the settings that they were accepted under.
+     *
+     * <p>Must be called in the same turn of the event loop in which the sockets' side begins to read requests under the
+     * new settings, because a request's indexes into the settings belong to the generation that accepts it.
      *
      * @param zoneName this sidecar's zone, or null if the settings have no zones
      */
     public void reload(PolicySettings settings, long seed, String zoneName) {
+        PolicySettings zonedSettings = zoneName == null ? settings : settings.withZone(endpoints.zoneNumber(zoneName));
+        PolicyGeneration generation = new PolicyGeneration(this, zonedSettings, seed, lease);
+        generations.acceptInto(generation);
         events.submit(() -> {
-            PolicySettings zonedSettings =
-                    zoneName == null ? settings : settings.withZone(endpoints.zoneNumber(zoneName));
-            generations.replaceCurrent(new PolicyGeneration(this, zonedSettings, seed, lease));
-            LoadBalancer loadBalancer = generations.current().loadBalancer();
+            generations.replaceCurrent(generation);
+            LoadBalancer loadBalancer = generation.loadBalancer();
             loadBalancer.start(events.now());
             loadBalancer.onEndpointUpdates(events.now(), endpoints.all(), true, true);
         });
     }
 
-    /** Reports a request that has been read completely. */
+    /**
+     * Accepts a request that has been read completely, under the settings in use now. {@link #requestArrived} has to
+     * follow, at once or later: until then no decision is made on the request.
+     */
+    public void accept(InboundRequest request) {
+        request.id = ++lastTransactionId;
+        request.generation = generations.accepting();
+        request.generation.transactionAccepted();
+        openRequests.put(request.id, request);
+    }
+
+    /** Reports an accepted request to the load balancer, which decides on it from now on. */
     public void requestArrived(InboundRequest request) {
         events.submit(() -> {
             if (!request.isAwaitingResponse()) {
@@ -104,13 +119,8 @@
                 releaseIfFinished(request);
                 return;
             }
-            PolicyGeneration generation = generations.current();
-            request.id = ++lastTransactionId;
-            openRequests.put(request.id, request);
-            request.generation = generation;
-            generation.transactionAccepted();
             long now = events.now();
-            generation
+            request.generation
                     .loadBalancer()
                     .onArrival(
                             now,
@@ -137,9 +147,7 @@
             return;
         }
         request.clientDisconnected(counters);
-        if (request.generation != null) {
-            request.generation.loadBalancer().onClientDisconnected(events.now(), request.id);
-        }
+        request.generation.loadBalancer().onClientDisconnected(events.now(), request.id);
     }
 
     /** Reports the end of an attempt; called once for each attempt. */
--- a/sidecar/src/main/java/trestlegrade/runtime/PolicyGeneration.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/PolicyGeneration.java
@@ -10,8 +10,9 @@
  * One set of settings in use, with the load balancer that decides under it.
  *
  * <p>A generation begins at the start of the sidecar or at a SIGHUP with new settings, and accepts all transactions
- * that arrive until the next generation begins. From then on it is retiring: it decides on its open transactions until
- * the last of them has ended, so that the rules never change for an open transaction. Confined to the event loop.
+ * that are read until the next generation takes its place. From then on it is retiring: it decides on its open
+ * transactions, also on those that it has accepted but not yet seen, until the last of them has ended, so that the
+ * rules never change for an open transaction. Confined to the event loop.
  */
 public final class PolicyGeneration implements PolicyActions {
     private final PolicyExecutor executor;
--- a/sidecar/src/main/java/trestlegrade/runtime/PolicyGenerations.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/PolicyGenerations.java
@@ -5,15 +5,31 @@
 import java.util.function.Consumer;
 import trestlegrade.policy.LoadBalancer;
 
-/** The generation that accepts new transactions, and the retiring ones that still have open transactions. */
+/**
+ * The generation that accepts new transactions, the one that was begun last, and the retiring ones that still have open
+ * transactions. The first two differ while the event that begins a generation is queued.
+ */
 final class PolicyGenerations {
+    private PolicyGeneration accepting;
     private PolicyGeneration current;
     private final List<PolicyGeneration> retiring = new ArrayList<>();
 
     PolicyGenerations(PolicyGeneration initial) {
+        accepting = initial;
         current = initial;
     }
 
+    /** Returns the generation that accepts the transactions that are read now. */
+    PolicyGeneration accepting() {
+        return accepting;
+    }
+
+    /** Makes a generation accept all transactions from now on. {@link #replaceCurrent} follows once it is begun. */
+    void acceptInto(PolicyGeneration next) {
+        accepting = next;
+    }
+
+    /** Returns the generation that was begun last. */
     PolicyGeneration current() {
         return current;
     }
@@ -31,7 +47,7 @@
                         .sum();
     }
 
-    /** Makes the next generation accept new transactions. The previous one is kept while it has open transactions. */
+    /** Begins the next generation. The previous one is kept while it has open transactions. */
     void replaceCurrent(PolicyGeneration next) {
         PolicyGeneration previous = current;
         current = next;
--- a/sidecar/src/main/java/trestlegrade/runtime/WarmUp.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/WarmUp.java
@@ -105,7 +105,7 @@
     private void sendNext() {
         int profile = sent % config.profiles().size();
         long now = clock.now();
-        policyExecutor.requestArrived(new InboundRequest(
+        InboundRequest request = new InboundRequest(
                 new RequestHead(sent++ % 2 == 0 ? "GET" : "POST", TARGET, HttpHeaders.headers()),
                 body,
                 new RequestMetadata(
@@ -115,7 +115,9 @@
                         sent,
                         now + config.policySettings().profiles().get(profile).deadlineTicks(),
                         0),
-                this));
+                this);
+        policyExecutor.accept(request);
+        policyExecutor.requestArrived(request);
     }
 
     private void transactionEnded() {
