End a transaction that is decided on after SIGTERM by the end of the shutdown

What callers would see: a request read just before SIGTERM on a connection that waited for a descriptor is decided on some milliseconds later, under its own deadline; the kill comes before its response.

Cause: drainBy limits only the transactions that the load balancers know at that time. Change: the executor keeps the time by which responses are due and applies it at the decision as well. Evidence: PolicyExecutorTest.requestAcceptedBeforeAShutdown... gets no response in 2.5 s without the change.

--- a/sidecar/src/main/java/trestlegrade/runtime/PolicyExecutor.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/PolicyExecutor.java
@@ -39,6 +39,8 @@
     private AttemptSender attemptSender;
     private Runnable endpointListWatchStarter;
     private long lastTransactionId;
+    /** The time by which each transaction gets its final response; {@link Long#MAX_VALUE} before a shutdown. */
+    private long responsesDueBy = Long.MAX_VALUE;
 
     /**
      * Creates an executor that accepts events, which run after {@link #start}.
@@ -120,6 +122,8 @@
                 return;
             }
             long now = events.now();
+            // The shutdown may have begun after the request was read.
+            long deadline = Math.min(request.metadata.deadline(), responsesDueBy);
             request.generation
                     .loadBalancer()
                     .onArrival(
@@ -128,7 +132,7 @@
                             request.metadata.profile(),
                             request.metadata.customer(),
                             request.metadata.affinityKey(),
-                            request.metadata.deadline() - now,
+                            deadline - now,
                             request.metadata.costHintTicks());
             releaseIfFinished(request);
         });
@@ -209,7 +213,10 @@
 
     /** Begins the graceful shutdown: each open transaction gets its final response by this time, in ticks. */
     public void drainBy(long endTicks) {
-        events.submit(() -> generations.forEachLoadBalancer(each -> each.shutDownBy(endTicks)));
+        events.submit(() -> {
+            responsesDueBy = endTicks;
+            generations.forEachLoadBalancer(each -> each.shutDownBy(endTicks));
+        });
     }
 
     /** Returns the number of transactions that wait for their final response or have attempts in flight. */
--- a/sidecar/src/test/java/trestlegrade/runtime/PolicyExecutorTest.java
+++ b/sidecar/src/test/java/trestlegrade/runtime/PolicyExecutorTest.java
@@ -44,6 +44,7 @@
 class PolicyExecutorTest {
     private static final int ENDPOINTS = 3;
     private static final long FAR_DEADLINE_TICKS = 50_000;
+    private static final long SHUTDOWN_TICKS = 5_000;
     private static final String ADDED =
             "{\"name\":\"added\",\"effect\":\"repeatable\",\"service_goal\":500," + "\"hard_limit\":9000}";
     private static final String QUOTE = ADDED.replace("added", "quote");
@@ -238,6 +239,22 @@
         assertEquals(1, executions.get());
     }
 
+    /**
+     * Failure: a request read just before SIGTERM and decided on after it kept its deadline, and the kill came first.
+     */
+    @Test
+    void requestAcceptedBeforeAShutdownGetsItsResponseBeforeTheEndOfTheShutdown() throws Exception {
+        closeAfterRequest = false;
+        RecordingClient client = new RecordingClient();
+        onLoop(() -> {
+            start(config(POST_CHARGE));
+            InboundRequest request = accept(0, false, client);
+            executor.drainBy(loop.clock().now() + SHUTDOWN_TICKS);
+            executor.requestArrived(request);
+        });
+        assertEquals("abandoned", client.response.get(FAR_DEADLINE_TICKS / 20, TimeUnit.MILLISECONDS));
+    }
+
     private void assertGenerationsAreReleased() throws Exception {
         onLoop(() -> {
             assertEquals(1, executor.generationCount());
