--- a/sidecar/src/main/java/trestlegrade/runtime/Sidecar.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/Sidecar.java
@@ -18,7 +18,7 @@
 import trestlegrade.inbound.InboundHttpServer;
 import trestlegrade.metrics.AsyncLog;
 import trestlegrade.metrics.Counters;
-import trestlegrade.metrics.HeapMonitor;
+import trestlegrade.metrics.MemoryMonitor;
 import trestlegrade.outbound.AttemptSender;
 import trestlegrade.policy.lease.EndpointListLease;
 
@@ -150,7 +150,7 @@
         counters.registerGauge("pooled", attemptSender::connections);
         counters.registerGauge("list_version", discovery::version);
         counters.registerGauge("list_age_ms", discovery::ageMillis);
-        HeapMonitor.start(loop.vertx(), counters);
+        MemoryMonitor.start(loop.vertx(), counters);
     }
 
     /**
