Bound what heads hold in memory by their fields, in both directions

Cause: the decoder keeps each parsed field, some 130 bytes and its text, until the head is complete. Only bodies were counted, and what is sent ahead by its text. The same holds for open requests and their forwarded copies, trailers, responses, and for what stayed in memory after its claim was released (a rejected request, a response that failed).

Change: IncompleteHead holds incomplete fields as text. One budget for requests (MessageMemoryBudget, with heads, bodies, what waits and what is incomplete) and one for responses count heads by their fields. At the bound a request that its client has stopped sending is ended first, then the one that asks: 503 or a close, nothing forwarded. What is rejected or fails is dropped at once. The gauges request_*_kb and answer_*_kb show each use.

--- a/sidecar/src/main/java/trestlegrade/inbound/ClientConnection.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/ClientConnection.java
@@ -18,12 +18,10 @@
     private final long acceptedAt;
     private long lastUsedAt;
     private int transactionCount;
-    /** The response to the request that is being read; null if no request is being read. */
-    private HttpServerResponse pendingResponse;
+    /** The request that is being read; null if no request is being read. */
+    private IncomingRequest incoming;
     /** The latest transaction if it has no response on this connection yet; null otherwise. */
     private InboundRequest transaction;
-    /** The memory of a body that is being read, or that was read and belongs to no transaction; null otherwise. */
-    private BodyMemoryBudget.Claim bodyMemory;
     /** The write of the latest response; completes when the kernel has all of it, or it can no longer be written. */
     private Future<Void> lastWrite = Future.succeededFuture();
 
@@ -78,11 +76,11 @@
 
     /** The response to the request that is being read; null if no request is being read. */
     HttpServerResponse pendingResponse() {
-        return pendingResponse;
+        return incoming == null ? null : incoming.response();
     }
 
     boolean isReading() {
-        return pendingResponse != null;
+        return incoming != null;
     }
 
     boolean hasOpenTransaction() {
@@ -133,18 +131,16 @@
     }
 
     /** Called when the head of a request has been read. */
-    void requestStarted(HttpServerResponse response, BodyMemoryBudget.Claim memory, long now) {
-        pendingResponse = response;
-        bodyMemory = memory;
+    void requestStarted(IncomingRequest request, long now) {
+        incoming = request;
         lastUsedAt = now;
     }
 
-    /** Called when the request that was read becomes a transaction, which then owns the memory of its body. */
+    /** Called when the request that was read becomes a transaction, which then owns its memory. */
     void transactionAccepted(InboundRequest accepted) {
-        pendingResponse = null;
         transaction = accepted;
-        accepted.setBodyMemory(bodyMemory);
-        bodyMemory = null;
+        accepted.setMemory(incoming.memory());
+        incoming = null;
         transactionCount++;
     }
 
@@ -171,11 +167,10 @@
             response.putHeader("Connection", "close");
         }
         // An idle connection must not keep its last transaction in memory.
-        pendingResponse = null;
         transaction = null;
-        releaseBodyMemory();
         lastUsedAt = now;
         lastWrite = response.setStatusCode(status).end(body);
+        discardIncoming();
     }
 
     /** Whether requests that were complete before the end was decided still get their responses. */
@@ -183,11 +178,30 @@
         return reason == ConnectionEndReason.SHUTTING_DOWN || reason == ConnectionEndReason.NO_CAPACITY;
     }
 
-    /** Releases the memory of a body that belongs to no transaction. */
-    void releaseBodyMemory() {
-        if (bodyMemory != null) {
-            bodyMemory.release();
-            bodyMemory = null;
+    /** Returns the heap, in bytes, that a request holds which has not been read completely; 0 if there is none. */
+    long incompleteRequestBytes() {
+        return decoder.incompleteBytes()
+                + (incoming == null ? 0 : incoming.memory().bytes());
+    }
+
+    /**
+     * Drops an incomplete head, for which there is no memory, and ends the connection: at once, or with the response to
+     * its open transaction.
+     */
+    void endForMemory() {
+        setEndReasonIfAbsent(ConnectionEndReason.NO_MEMORY);
+        decoder.discardInput();
+        if (!hasOpenTransaction()) {
+            closing = true;
+            lastWrite.onComplete(done -> decoder.closeNow());
+        }
+    }
+
+    /** Drops the request that is being read, if there is one. */
+    void discardIncoming() {
+        if (incoming != null) {
+            incoming.discard();
+            incoming = null;
         }
     }
 
--- a/sidecar/src/main/java/trestlegrade/inbound/ClientConnections.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/ClientConnections.java
@@ -55,9 +55,8 @@
         this.descriptors = descriptors;
         this.lag = lag;
         this.onClientDisconnected = onClientDisconnected;
-        Collection<ClientConnection> openView = Collections.unmodifiableCollection(open.values());
-        sweeper = new IdleConnectionSweeper(vertx, clock, counters, lag, openView);
-        evictor = new ConnectionEvictor(vertx, clock, descriptors, lag, openView);
+        sweeper = new IdleConnectionSweeper(vertx, clock, counters, lag, open());
+        evictor = new ConnectionEvictor(vertx, clock, descriptors, lag, open());
         Context context = vertx.getOrCreateContext();
         descriptors.onExhausted(() -> context.runOnContext(v -> evictor.start()));
     }
@@ -70,6 +69,11 @@
         sweeper.setLongestDeadline(ticks);
     }
 
+    /** Returns a view of the open connections, in the order in which they were accepted. */
+    Collection<ClientConnection> open() {
+        return Collections.unmodifiableCollection(open.values());
+    }
+
     /** Returns the state of a connection, or null once it has ended. */
     ClientConnection get(HttpConnection http) {
         return open.get(http);
@@ -88,9 +92,9 @@
 
     private void ended(HttpConnection http, ClientConnection connection) {
         open.remove(http);
-        connection.releaseBodyMemory();
         ConnectionEndReason clientReason =
                 connection.isBusy() ? ConnectionEndReason.CLIENT_DISCONNECTED : ConnectionEndReason.CLIENT_CLOSED;
+        connection.discardIncoming();
         ConnectionEndReason reason = connection.endReason() == null ? clientReason : connection.endReason();
         counters.connectionEnded(
                 "client",
--- a/sidecar/src/main/java/trestlegrade/inbound/ConnectionEndReason.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/ConnectionEndReason.java
@@ -10,8 +10,8 @@
     MALFORMED_REQUEST("malformed"),
     /** A request body is longer than {@link InboundHttpServer#MAX_BODY_BYTES}. */
     BODY_TOO_LARGE("oversized"),
-    /** The memory for request bodies is exhausted. */
-    NO_BODY_MEMORY("no-memory"),
+    /** The memory for requests is exhausted. */
+    NO_MEMORY("no-memory"),
     /** Another transaction is open under the same trace id. */
     TRACE_ID_IN_USE("id-taken"),
     /** The request names no profile of the settings. */
--- a/sidecar/src/main/java/trestlegrade/inbound/InboundHttpServer.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/InboundHttpServer.java
@@ -13,6 +13,7 @@
 import trestlegrade.discovery.EndpointRegistry;
 import trestlegrade.eventloop.EventLoopLag;
 import trestlegrade.eventloop.MonotonicClock;
+import trestlegrade.memory.MessageMemoryBudget;
 import trestlegrade.metrics.Counters;
 import trestlegrade.runtime.PolicyExecutor;
 import trestlegrade.runtime.WarmUp;
@@ -31,20 +32,18 @@
     private static final int UNHEALTHY = 503;
     /** More connections than the descriptors allow, so that no client that connects during a stall is refused. */
     private static final int ACCEPT_BACKLOG = 1024;
-    /** The fraction of the heap for request bodies; response bodies may use the same. */
-    private static final double REQUEST_BODIES_HEAP_FRACTION = 0.3;
 
     private final Vertx vertx;
     private final MonotonicClock clock;
     private final Counters counters;
     private final EndpointRegistry endpoints;
     private final EventLoopLag lag;
-    private final BodyMemoryBudget requestBodies = BodyMemoryBudget.ofHeap(REQUEST_BODIES_HEAP_FRACTION);
-    private final PipeliningHandler.TotalBytes pipelinedBytes = new PipeliningHandler.TotalBytes();
+    private final MessageMemoryBudget memory = MessageMemoryBudget.forRequests();
     private final ClientConnections connections;
     private final ResponseWriter writer;
     private final GracefulShutdown shutdown;
     private final TransactionAcceptor acceptor;
+    private final MemoryReclaimer reclaimer;
     private final RequestReader reader;
     private final ListenerBinder binder;
     private SidecarConfig config;
@@ -73,7 +72,8 @@
         RequestDeadline deadline = new RequestDeadline(clock, lag, shutdown);
         acceptor =
                 new TransactionAcceptor(counters, executor, descriptors, lag, connections, writer, shutdown, deadline);
-        reader = new RequestReader(clock, requestBodies, writer, acceptor);
+        reclaimer = new MemoryReclaimer(clock, connections.open(), writer);
+        reader = new RequestReader(clock, memory, reclaimer, writer, acceptor);
         binder = new ListenerBinder(vertx, clock, counters.log, () -> this.config.listen(), this::newServer);
         applyConfig(config);
     }
@@ -107,9 +107,9 @@
         return acceptor.openTraceIds().count();
     }
 
-    /** Returns the bytes that request bodies hold, from their first byte until no attempt needs them. */
-    public long requestBodyBytes() {
-        return requestBodies.claimedBytes();
+    /** Returns the memory of requests, from their first byte until no attempt needs them. */
+    public MessageMemoryBudget memory() {
+        return memory;
     }
 
     /** Returns the number of open client connections. */
@@ -136,13 +136,22 @@
     }
 
     private void onConnection(HttpConnection connection, HttpServerOptions options) {
-        StrictRequestDecoder decoder = StrictRequestDecoder.install(
-                connection,
-                options,
-                clock,
-                lag,
-                pipelinedBytes,
-                () -> connections.get(connection).setEndReason(ConnectionEndReason.PIPELINE_OVERFLOW));
+        StrictRequestDecoder.Listener listener = new StrictRequestDecoder.Listener() {
+            @Override
+            public void pipelineOverflow() {
+                connections.get(connection).setEndReason(ConnectionEndReason.PIPELINE_OVERFLOW);
+            }
+
+            @Override
+            public void noMemory() {
+                ClientConnection state = connections.get(connection);
+                if (state != null) {
+                    state.endForMemory();
+                }
+            }
+        };
+        StrictRequestDecoder decoder =
+                StrictRequestDecoder.install(connection, options, clock, lag, memory, reclaimer, listener);
         connections.accepted(connection, decoder);
     }
 
--- a/sidecar/src/main/java/trestlegrade/inbound/InboundRequest.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/InboundRequest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import trestlegrade.memory.MessageMemory;
 import trestlegrade.metrics.Counters;
 import trestlegrade.outbound.OutboundAttempt;
 import trestlegrade.runtime.PolicyGeneration;
@@ -48,7 +49,7 @@
     public PolicyGeneration generation;
 
     private final Client client;
-    private BodyMemoryBudget.Claim bodyMemory;
+    private MessageMemory memory;
     private boolean finished;
 
     /** Creates a request that has been read completely and has had no attempt yet. */
@@ -69,15 +70,15 @@
         return !finished && !client.isDisconnected();
     }
 
-    /** Transfers the memory of the body to this request, which holds it until {@link #releaseBodyMemory}. */
-    void setBodyMemory(BodyMemoryBudget.Claim memory) {
-        bodyMemory = memory;
+    /** Transfers the memory of head and body to this request, which holds it until {@link #releaseMemory}. */
+    void setMemory(MessageMemory transferred) {
+        memory = transferred;
     }
 
-    /** Releases the memory of the body. The request must be finished and have no attempt in flight. */
-    public void releaseBodyMemory() {
-        if (bodyMemory != null) {
-            bodyMemory.release();
+    /** Releases the memory of head and body. The request must be finished and have no attempt in flight. */
+    public void releaseMemory() {
+        if (memory != null) {
+            memory.release();
         }
     }
 
--- a/sidecar/src/main/java/trestlegrade/inbound/PipeliningHandler.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/PipeliningHandler.java
@@ -11,8 +11,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Map;
 import trestlegrade.eventloop.MonotonicClock;
+import trestlegrade.memory.HeadMemory;
+import trestlegrade.memory.MessageMemoryBudget;
 
 /**
  * Forwards one request at a time to the server, the next one after the response to the previous one. Pipelined requests
@@ -21,42 +22,32 @@
  * connection ends, waiting requests are discarded.
  */
 final class PipeliningHandler extends ChannelDuplexHandler {
-
-    /** The total number of bytes that wait on all connections. */
-    static final class TotalBytes {
-        private long bytes;
-    }
-
     /**
-     * The limit per connection: room for one long body and a hundred short requests. A client that follows the protocol
-     * has one request open.
+     * The limit per connection: room for some long bodies and some hundred short requests. A client that follows the
+     * protocol has one request open.
      */
-    private static final long MAX_CONNECTION_BYTES = 256 << 10;
-    /** The limit for all connections, a twentieth of the heap. */
-    private static final long MAX_TOTAL_BYTES = 4 << 20;
-    /** The maximum memory of a request head in addition to its text. */
-    private static final long HEAD_OVERHEAD_BYTES = 1 << 10;
+    private static final long MAX_CONNECTION_BYTES = 512 << 10;
 
     private final StrictRequestDecoder decoder;
     private final MonotonicClock clock;
-    private final TotalBytes total;
+    private final MessageMemoryBudget.Claim memory;
     private final Runnable onOverflow;
     private final Deque<Object> waiting = new ArrayDeque<>();
     /** When the last byte of each complete waiting request arrived, in ticks of the clock. */
     private final Deque<Long> waitingReceivedAt = new ArrayDeque<>();
 
     private long receivedAt;
-    private long waitingBytes;
     private boolean requestOpen;
 
     /**
      * {@code onOverflow} is called after more was pipelined than may wait, before the last complete request is
      * forwarded. The connection has to end with the response to that request.
      */
-    PipeliningHandler(StrictRequestDecoder decoder, MonotonicClock clock, TotalBytes total, Runnable onOverflow) {
+    PipeliningHandler(
+            StrictRequestDecoder decoder, MonotonicClock clock, MessageMemoryBudget budget, Runnable onOverflow) {
         this.decoder = decoder;
         this.clock = clock;
-        this.total = total;
+        memory = budget.claim(MessageMemoryBudget.Use.PIPELINED);
         this.onOverflow = onOverflow;
     }
 
@@ -83,28 +74,30 @@
     }
 
     private void enqueue(Object part) {
+        long requiredBytes = memory.bytes() + size(part);
+        if (requiredBytes > MAX_CONNECTION_BYTES || !memory.resize(requiredBytes)) {
+            overflow(part);
+            return;
+        }
         waiting.add(part);
         if (part instanceof LastHttpContent) {
             waitingReceivedAt.add(clock.now());
         }
-        addBytes(size(part));
-        if (waitingBytes > MAX_CONNECTION_BYTES || total.bytes > MAX_TOTAL_BYTES) {
-            overflow();
-        }
     }
 
     /**
-     * Discards the incomplete request, which was never forwarded, and all further input. Leaving the input unread in
-     * the kernel would hide the client's disconnect.
+     * Discards the request for which there is no memory, which was never forwarded, and all further input. Leaving the
+     * input unread in the kernel would hide the client's disconnect.
      */
-    private void overflow() {
+    private void overflow(Object part) {
         decoder.discardInput();
-        boolean partial = !(waiting.peekLast() instanceof LastHttpContent);
-        while (partial) {
-            Object part = waiting.pollLast();
-            partial = !(part instanceof HttpRequest);
-            addBytes(-size(part));
-            ReferenceCountUtil.release(part);
+        ReferenceCountUtil.release(part);
+        boolean discarded = part instanceof HttpRequest;
+        while (!discarded) {
+            Object earlierPart = waiting.pollLast();
+            discarded = earlierPart instanceof HttpRequest;
+            releaseMemory(earlierPart);
+            ReferenceCountUtil.release(earlierPart);
         }
         if (waiting.isEmpty()) {
             onOverflow.run();
@@ -129,7 +122,7 @@
     private void forwardNext(ChannelHandlerContext context) {
         while (!waiting.isEmpty() && !(waiting.peekFirst() instanceof HttpRequest && requestOpen)) {
             Object part = waiting.pollFirst();
-            addBytes(-size(part));
+            releaseMemory(part);
             if (part instanceof LastHttpContent) {
                 receivedAt = waitingReceivedAt.pollFirst();
             }
@@ -148,18 +141,17 @@
         context.fireChannelRead(part);
     }
 
-    private void addBytes(long added) {
-        waitingBytes += added;
-        total.bytes += added;
+    private void releaseMemory(Object part) {
+        memory.resize(memory.bytes() - size(part));
     }
 
     private static long size(Object part) {
         long size = 0;
         if (part instanceof HttpRequest head) {
-            size = HEAD_OVERHEAD_BYTES + head.uri().length();
-            for (Map.Entry<String, String> field : head.headers()) {
-                size += field.getKey().length() + field.getValue().length();
-            }
+            size = HeadMemory.of(head.uri(), head.headers());
+        }
+        if (part instanceof LastHttpContent last) {
+            size += HeadMemory.ofFields(last.trailingHeaders());
         }
         return part instanceof HttpContent content ? size + content.content().readableBytes() : size;
     }
@@ -176,7 +168,7 @@
     }
 
     private void discardWaiting() {
-        addBytes(-waitingBytes);
+        memory.release();
         waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
         waitingReceivedAt.clear();
--- a/sidecar/src/main/java/trestlegrade/inbound/Rejection.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/Rejection.java
@@ -10,7 +10,7 @@
     BODY_TOO_LARGE(413, ConnectionEndReason.BODY_TOO_LARGE),
     REQUEST_LINE_TOO_LONG(414, ConnectionEndReason.MALFORMED_REQUEST),
     HEADERS_TOO_LARGE(431, ConnectionEndReason.MALFORMED_REQUEST),
-    NO_BODY_MEMORY(503, ConnectionEndReason.NO_BODY_MEMORY),
+    NO_MEMORY(503, ConnectionEndReason.NO_MEMORY),
     /** The end of the connection was already decided when the request arrived; that reason is kept. */
     CONNECTION_ENDING(503, null);
 
--- a/sidecar/src/main/java/trestlegrade/inbound/RequestReader.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/RequestReader.java
@@ -7,7 +7,9 @@
 import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
+import java.util.function.BooleanSupplier;
 import trestlegrade.eventloop.MonotonicClock;
+import trestlegrade.memory.MessageMemoryBudget;
 
 /** Reads request bodies within the limits of length and memory, and rejects requests that cannot be read. */
 final class RequestReader {
@@ -18,27 +20,33 @@
     }
 
     private final MonotonicClock clock;
-    private final BodyMemoryBudget memory;
+    private final MessageMemoryBudget memory;
+    private final MemoryReclaimer reclaimer;
     private final ResponseWriter writer;
     private final Handler handler;
 
-    RequestReader(MonotonicClock clock, BodyMemoryBudget memory, ResponseWriter writer, Handler handler) {
+    RequestReader(
+            MonotonicClock clock,
+            MessageMemoryBudget memory,
+            MemoryReclaimer reclaimer,
+            ResponseWriter writer,
+            Handler handler) {
         this.clock = clock;
         this.memory = memory;
+        this.reclaimer = reclaimer;
         this.writer = writer;
         this.handler = handler;
     }
 
     /** Reads a request whose head has been received, and passes it to the handler or rejects it. */
     void read(HttpServerRequest request, ClientConnection connection) {
-        BodyMemoryBudget.Claim claim = memory.claim();
-        connection.requestStarted(request.response(), claim, clock.now());
-        Buffer body = Buffer.buffer();
-        request.handler(part -> append(request, connection, claim, body, part));
+        IncomingRequest incoming = new IncomingRequest(request, memory);
+        connection.requestStarted(incoming, clock.now());
+        request.handler(part -> append(incoming, connection, part));
         request.exceptionHandler(cause -> connection.setEndReasonIfAbsent(readFailureReason(cause)));
         request.endHandler(v -> {
             if (connection.isReading()) {
-                handler.onRequest(request, connection, body);
+                handler.onRequest(request, connection, incoming.body());
             } else {
                 // The request was rejected before its last byte, which has now arrived.
                 connection.close(connection.endReason());
@@ -48,26 +56,29 @@
             writer.reject(connection, request.response(), Rejection.MALFORMED_REQUEST);
         } else if (HeaderRules.contentLength(request.getHeader("Content-Length")) > InboundHttpServer.MAX_BODY_BYTES) {
             writer.rejectUnread(connection, request.response(), Rejection.BODY_TOO_LARGE);
+        } else if (!succeeds(incoming::claimHead)) {
+            writer.rejectUnread(connection, request.response(), Rejection.NO_MEMORY);
         }
     }
 
-    private void append(
-            HttpServerRequest request,
-            ClientConnection connection,
-            BodyMemoryBudget.Claim claim,
-            Buffer body,
-            Buffer part) {
+    private void append(IncomingRequest incoming, ClientConnection connection, Buffer part) {
         if (!connection.isReading()) {
             return;
         }
-        int length = body.length() + part.length();
-        if (length > InboundHttpServer.MAX_BODY_BYTES) {
-            writer.rejectUnread(connection, request.response(), Rejection.BODY_TOO_LARGE);
-        } else if (!claim.grow(length)) {
-            writer.rejectUnread(connection, request.response(), Rejection.NO_BODY_MEMORY);
-        } else {
-            body.appendBuffer(part);
+        if (incoming.body().length() + part.length() > InboundHttpServer.MAX_BODY_BYTES) {
+            writer.rejectUnread(connection, incoming.response(), Rejection.BODY_TOO_LARGE);
+        } else if (!succeeds(() -> incoming.append(part))) {
+            writer.rejectUnread(connection, incoming.response(), Rejection.NO_MEMORY);
+        }
+    }
+
+    /** Returns whether the claim succeeds, if need be with memory of requests that their clients do not continue. */
+    private boolean succeeds(BooleanSupplier claim) {
+        boolean claimed = claim.getAsBoolean();
+        while (!claimed && reclaimer.reclaim()) {
+            claimed = claim.getAsBoolean();
         }
+        return claimed;
     }
 
     /** Returns why Vert.x ended the connection: the client disconnected or sent a malformed body. */
--- a/sidecar/src/main/java/trestlegrade/inbound/StrictRequestDecoder.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/StrictRequestDecoder.java
@@ -1,6 +1,7 @@
 package trestlegrade.inbound;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -13,12 +14,13 @@
 import java.util.List;
 import trestlegrade.eventloop.EventLoopLag;
 import trestlegrade.eventloop.MonotonicClock;
+import trestlegrade.memory.MessageMemoryBudget;
 
 /**
- * The request decoder of Vert.x, extended to reject requests that have both a Content-Length and a Transfer-Encoding
- * and to record when bytes arrive. Netty would drop the Content-Length and decode the chunks. A recipient that uses the
- * Content-Length instead would find a second request in the body of the first (request smuggling). Times are ticks of
- * {@link MonotonicClock}.
+ * The request decoder of Vert.x, extended to bound the memory of incomplete requests, to reject requests that have both
+ * a Content-Length and a Transfer-Encoding and to record when bytes arrive. Netty would drop the Content-Length and
+ * decode the chunks. A recipient that uses the Content-Length instead would find a second request in the body of the
+ * first (request smuggling). Times are ticks of {@link MonotonicClock}.
  */
 final class StrictRequestDecoder extends VertxHttpRequestDecoder {
     private static final long NANOS_PER_TICK = 100_000;
@@ -26,6 +28,10 @@
     private static final long MAX_FIRST_READ_DELAY_TICKS = 500;
 
     private final MonotonicClock clock;
+    private final IncompleteHead head;
+    private final MessageMemoryBudget.Claim incompleteMemory;
+    private final MemoryReclaimer reclaimer;
+    private final Listener listener;
     private final long acceptedAt;
     private final long backlogTicks;
     private PipeliningHandler pipeliningHandler;
@@ -35,28 +41,52 @@
     private long messageStartedAt;
     private long lastReadAt;
 
-    private StrictRequestDecoder(HttpServerOptions options, MonotonicClock clock, long backlogTicks) {
+    /** Is notified when the connection has to end because the memory for requests is exhausted. */
+    interface Listener {
+        /**
+         * More was pipelined than may wait. Called before the last complete request is forwarded; the connection has to
+         * end with the response to that request.
+         */
+        void pipelineOverflow();
+
+        /** There is no memory for the incomplete head of a request. The connection has to end at once. */
+        void noMemory();
+    }
+
+    private StrictRequestDecoder(
+            HttpServerOptions options,
+            MonotonicClock clock,
+            long backlogTicks,
+            MessageMemoryBudget memory,
+            MemoryReclaimer reclaimer,
+            Listener listener) {
         super(options);
         this.clock = clock;
+        this.reclaimer = reclaimer;
+        this.listener = listener;
+        head = new IncompleteHead(options.getMaxInitialLineLength(), options.getMaxHeaderSize());
+        incompleteMemory = memory.claim(MessageMemoryBudget.Use.INCOMPLETE);
         this.backlogTicks = backlogTicks;
         acceptedAt = clock.now();
     }
 
     /**
      * Installs a decoder, a {@link PipeliningHandler} and a {@link LingeringClose} in the pipeline of a connection from
-     * which nothing has been read. {@code onOverflow} is called as described in {@link PipeliningHandler}.
+     * which nothing has been read.
      */
     static StrictRequestDecoder install(
             HttpConnection connection,
             HttpServerOptions options,
             MonotonicClock clock,
             EventLoopLag lag,
-            PipeliningHandler.TotalBytes totalBytes,
-            Runnable onOverflow) {
+            MessageMemoryBudget memory,
+            MemoryReclaimer reclaimer,
+            Listener listener) {
         Channel channel =
                 ((HttpServerConnection) connection).channelHandlerContext().channel();
-        StrictRequestDecoder decoder = new StrictRequestDecoder(options, clock, backlogTicks(channel, clock, lag));
-        decoder.pipeliningHandler = new PipeliningHandler(decoder, clock, totalBytes, onOverflow);
+        StrictRequestDecoder decoder = new StrictRequestDecoder(
+                options, clock, backlogTicks(channel, clock, lag), memory, reclaimer, listener);
+        decoder.pipeliningHandler = new PipeliningHandler(decoder, clock, memory, listener::pipelineOverflow);
         decoder.lingeringClose = new LingeringClose(decoder, clock, lag);
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.replace("httpDecoder", "httpDecoder", decoder);
@@ -84,10 +114,34 @@
             messageStartedAt = lastReadAt;
         }
         int sizeBefore = out.size();
-        super.decode(context, bytes, out);
+        head.decode(bytes, out, input -> super.decode(context, input, out));
         for (int i = sizeBefore; i < out.size(); i++) {
             partial &= !(out.get(i) instanceof LastHttpContent);
         }
+        claimIncompleteMemory();
+    }
+
+    private void claimIncompleteMemory() {
+        while (!discardsInput && !incompleteMemory.resize(head.heldBytes())) {
+            if (!reclaimer.reclaim()) {
+                listener.noMemory();
+                return;
+            }
+        }
+    }
+
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
+        if (!discardsInput && bytes.isReadable()) {
+            head.decodeLast(bytes, input -> super.decode(context, input, out));
+        }
+        super.decodeLast(context, Unpooled.EMPTY_BUFFER, out);
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext context) throws Exception {
+        discardInput();
+        super.handlerRemoved0(context);
     }
 
     @Override
@@ -98,6 +152,12 @@
     /** Discards all further input. It is still read, so that the end of the connection is noticed. */
     void discardInput() {
         discardsInput = true;
+        incompleteMemory.release();
+    }
+
+    /** Returns the heap, in bytes, that an incomplete head or trailer holds. */
+    long incompleteBytes() {
+        return incompleteMemory.bytes();
     }
 
     boolean discardsInput() {
--- a/sidecar/src/main/java/trestlegrade/outbound/AttemptSender.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/AttemptSender.java
@@ -6,7 +6,8 @@
 import trestlegrade.discovery.EndpointRegistry.Endpoint;
 import trestlegrade.eventloop.EventLoopContext;
 import trestlegrade.eventloop.MonotonicClock;
-import trestlegrade.inbound.BodyMemoryBudget;
+import trestlegrade.memory.MessageMemory;
+import trestlegrade.memory.MessageMemoryBudget;
 import trestlegrade.metrics.Counters;
 import trestlegrade.policy.request.AttemptOutcome;
 
@@ -32,9 +33,6 @@
      */
     public static final int QUARANTINE_MILLIS = 30;
 
-    /** Request bodies may use the same fraction of the heap, and the rest is for large endpoint lists. */
-    private static final double RESPONSE_BODIES_HEAP_FRACTION = 0.3;
-
     /**
      * A connection that was being opened for longer than this many connect timeouts was delayed by a stall of this
      * process, not by a slow endpoint.
@@ -51,7 +49,7 @@
     private final Counters counters;
     private final OutcomeListener outcomeListener;
     private final ConnectionPool pool;
-    private final BodyMemoryBudget responseBodies = BodyMemoryBudget.ofHeap(RESPONSE_BODIES_HEAP_FRACTION);
+    private final MessageMemoryBudget responseMemory = MessageMemoryBudget.forResponses();
 
     /** Creates a sender without connections. For the quarantine see {@link ConnectionPool#release}. */
     public AttemptSender(
@@ -73,9 +71,9 @@
         pool.reload(config);
     }
 
-    /** Returns the memory that response bodies hold, in bytes. */
-    public long responseBodyBytes() {
-        return responseBodies.claimedBytes();
+    /** Returns the memory of responses, from their first byte until they are written to the client or dropped. */
+    public MessageMemoryBudget responseMemory() {
+        return responseMemory;
     }
 
     /** Returns the number of connections to endpoints that are open or being opened. */
@@ -164,7 +162,7 @@
 
     private void write(OutboundAttempt attempt, PooledConnection connection) {
         attempt.connection = connection;
-        attempt.responseMemory = responseBodies.claim();
+        attempt.responseMemory = new MessageMemory(responseMemory);
         counters.attemptsSent++;
         attempt.written = connection.write(attempt, clock.now());
         attempt.written.onFailure(e -> responseFailed(attempt, ConnectionEndReason.BROKEN));
@@ -178,8 +176,9 @@
     @Override
     public void responseCompleted(OutboundAttempt attempt) {
         PooledConnection connection = attempt.connection;
+        boolean keepAlive = HttpUtil.isKeepAlive(attempt.responseHead);
         endAttempt(attempt, outcomeOfResponse(attempt));
-        if (!HttpUtil.isKeepAlive(attempt.responseHead)) {
+        if (!keepAlive) {
             connection.close(ConnectionEndReason.CLOSE_ANNOUNCED);
         }
     }
@@ -238,18 +237,25 @@
         attempt.ended = true;
         vertx.cancelTimer(attempt.timeoutTimer);
         vertx.cancelTimer(attempt.progressTimer);
-        if (attempt.responseMemory != null && outcome != AttemptOutcome.COMMITTED) {
-            attempt.responseMemory.release();
-        }
         if (attempt.connection != null) {
             releaseOrCloseConnection(attempt, outcome);
         }
         if (endpointMayBeDead(attempt, outcome)) {
             pool.closeSuspect(attempt.endpoint, attempt.startedTicks);
         }
+        if (attempt.responseMemory != null && outcome != AttemptOutcome.COMMITTED) {
+            dropResponse(attempt);
+        }
         report(attempt, outcome);
     }
 
+    /** Drops a response that is not forwarded. Its request keeps the attempt until it has its final response. */
+    private static void dropResponse(OutboundAttempt attempt) {
+        attempt.responseHead = null;
+        attempt.responseBody = null;
+        attempt.responseMemory.release();
+    }
+
     /** A connection can serve another attempt only after a complete request with a complete response. */
     private void releaseOrCloseConnection(OutboundAttempt attempt, AttemptOutcome outcome) {
         if (isResponse(outcome) && attempt.written != null && attempt.written.succeeded()) {
--- a/sidecar/src/main/java/trestlegrade/outbound/ConnectionEndReason.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/ConnectionEndReason.java
@@ -25,7 +25,7 @@
     CLOSE_ANNOUNCED("endpoint-closes"),
     /** The response body exceeds the limit of the protocol. */
     OVERSIZED("oversized"),
-    /** Response bodies hold all the memory that they may use. */
+    /** Responses hold all the memory that they may use. */
     NO_MEMORY("no-memory"),
     /** Bytes arrived that belong to no attempt. */
     EXCESS_BYTES("excess"),
--- a/sidecar/src/main/java/trestlegrade/outbound/OutboundAttempt.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/OutboundAttempt.java
@@ -4,8 +4,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import trestlegrade.discovery.EndpointRegistry.Endpoint;
-import trestlegrade.inbound.BodyMemoryBudget;
 import trestlegrade.inbound.InboundRequest;
+import trestlegrade.memory.MessageMemory;
 
 /** One attempt of a request, from the decision to send it until its outcome has been reported. */
 public final class OutboundAttempt {
@@ -20,8 +20,8 @@
 
     /** Null until the attempt is passed to a connection. */
     PooledConnection connection;
-    /** The memory of the response body. Null until the attempt is passed to a connection. */
-    public BodyMemoryBudget.Claim responseMemory;
+    /** The memory of the response. Null until the attempt is passed to a connection. */
+    public MessageMemory responseMemory;
     /** Completes when the last byte is written. Null until the attempt is passed to a connection. */
     Future<Void> written;
     /** Null until the head has arrived. */
--- a/sidecar/src/main/java/trestlegrade/outbound/PooledConnection.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/PooledConnection.java
@@ -18,6 +18,7 @@
 import trestlegrade.discovery.EndpointRegistry.Endpoint;
 import trestlegrade.inbound.HeaderRules;
 import trestlegrade.inbound.InboundHttpServer;
+import trestlegrade.memory.HeadMemory;
 
 /** A connection to an endpoint, which serves one attempt at a time and reads its response. */
 final class PooledConnection implements ResponseReader.Listener {
@@ -47,6 +48,8 @@
     private final Listener listener;
     private Runnable excessBytesHandler = () -> {};
     private Buffer body;
+    /** The memory of the head of the response to the attempt in flight; 0 until it has arrived. */
+    private long headBytes;
     /** When the connection last became idle. */
     long idleSinceTicks;
     /**
@@ -82,6 +85,7 @@
     /** Writes an attempt. The future completes when the last byte is written. */
     Future<Void> write(OutboundAttempt next, long now) {
         attempt = next;
+        headBytes = 0;
         attemptsServed++;
         return socket.writeMessage(HeaderRules.attemptMessage(next.request, next.request.metadata.deadline() - now));
     }
@@ -121,7 +125,10 @@
     private void readHead(HttpResponse head) {
         attempt.responseHead = head;
         body = Buffer.buffer();
-        if (HeaderRules.contentLength(head.headers().get("Content-Length")) > InboundHttpServer.MAX_BODY_BYTES) {
+        headBytes = HeadMemory.withCopy("", head.headers());
+        if (!attempt.responseMemory.resizeHead(headBytes)) {
+            listener.responseFailed(attempt, ConnectionEndReason.NO_MEMORY);
+        } else if (HeaderRules.contentLength(head.headers().get("Content-Length")) > InboundHttpServer.MAX_BODY_BYTES) {
             listener.responseFailed(attempt, ConnectionEndReason.OVERSIZED);
         }
     }
@@ -132,7 +139,7 @@
             listener.responseFailed(attempt, ConnectionEndReason.OVERSIZED);
             return;
         }
-        if (!attempt.responseMemory.grow(length)) {
+        if (!attempt.responseMemory.growBody(length)) {
             listener.responseFailed(attempt, ConnectionEndReason.NO_MEMORY);
             return;
         }
@@ -167,6 +174,16 @@
         listener.responseFailed(attempt, ConnectionEndReason.MALFORMED);
     }
 
+    @Override
+    public boolean mayHold(long incompleteBytes) {
+        return attempt.responseMemory.resizeHead(headBytes + incompleteBytes);
+    }
+
+    @Override
+    public void noMemory() {
+        listener.responseFailed(attempt, ConnectionEndReason.NO_MEMORY);
+    }
+
     @Override
     public void incompleteResponse() {
         listener.responsePartReceived(attempt);
--- a/sidecar/src/main/java/trestlegrade/outbound/ResponseReader.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/ResponseReader.java
@@ -1,6 +1,7 @@
 package trestlegrade.outbound;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
+import trestlegrade.memory.ParsedInput;
 
 /**
  * Decodes an endpoint's responses on one connection. Bytes that arrive while no attempt is in flight belong to no
@@ -33,6 +35,12 @@
         /** The response cannot be parsed. */
         void malformedResponse();
 
+        /** Returns whether there is memory for incomplete fields of the response that hold this many bytes. */
+        boolean mayHold(long incompleteBytes);
+
+        /** There is no memory for the fields of the response. */
+        void noMemory();
+
         /** All bytes that have arrived so far were read, and the response is not complete. */
         void incompleteResponse();
     }
@@ -47,6 +55,7 @@
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
 
     private final Listener listener;
+    private final ParsedInput parsed = new ParsedInput();
     private State state = State.BETWEEN_RESPONSES;
     private boolean connectionReset;
 
@@ -64,16 +73,34 @@
             return;
         }
         if (state == State.BETWEEN_RESPONSES && !startsAsResponse(bytes)) {
-            fail(bytes, out);
+            discard(bytes, out);
+            listener.malformedResponse();
             return;
         }
         int before = out.size();
+        int start = bytes.readerIndex();
         state = State.IN_RESPONSE;
         super.decode(context, bytes, out);
+        if (out.size() > before) {
+            parsed.passedOn();
+            checkParts(bytes, out, before);
+        } else {
+            parsed.consumed(bytes, start);
+        }
+        if (listener.awaitsResponse() && !listener.mayHold(parsed.bytes() + bytes.readableBytes())) {
+            discard(bytes, out);
+            dropParsedFields(context, out);
+            listener.noMemory();
+        }
+    }
+
+    /** Checks the parts of a response that have just been decoded, which are those from the given index on. */
+    private void checkParts(ByteBuf bytes, List<Object> out, int before) {
         for (int i = before; i < out.size(); i++) {
             HttpObject part = (HttpObject) out.get(i);
             if (part.decoderResult().isFailure() || (part instanceof HttpResponse head && hasUnknownEnd(head))) {
-                fail(bytes, out);
+                discard(bytes, out);
+                listener.malformedResponse();
                 return;
             }
             if (part instanceof HttpResponse head && head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -145,10 +172,15 @@
         throw new IllegalArgumentException("response has both Content-Length and Transfer-Encoding");
     }
 
-    private void fail(ByteBuf bytes, List<Object> out) {
+    /** Drops the fields that the decoder holds, which it does when it begins the next message. */
+    private void dropParsedFields(ChannelHandlerContext context, List<Object> out) throws Exception {
+        reset();
+        super.decode(context, Unpooled.EMPTY_BUFFER, out);
+    }
+
+    private static void discard(ByteBuf bytes, List<Object> out) {
         out.clear();
         bytes.skipBytes(bytes.readableBytes());
-        listener.malformedResponse();
     }
 
     @Override
--- a/sidecar/src/main/java/trestlegrade/runtime/PolicyExecutor.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/PolicyExecutor.java
@@ -285,7 +285,7 @@
         if (!request.isFinished() || request.attemptsInFlight > 0) {
             return;
         }
-        request.releaseBodyMemory();
+        request.releaseMemory();
         if (openRequests.remove(request.id) != null) {
             generations.transactionEnded(request.generation);
         }
--- a/sidecar/src/main/java/trestlegrade/runtime/Sidecar.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/Sidecar.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import java.util.Locale;
 import org.tinylog.Logger;
 import trestlegrade.config.SidecarConfig;
 import trestlegrade.discovery.DiscoveryClient;
@@ -16,6 +17,7 @@
 import trestlegrade.inbound.BoundedTransport;
 import trestlegrade.inbound.DescriptorBudget;
 import trestlegrade.inbound.InboundHttpServer;
+import trestlegrade.memory.MessageMemoryBudget;
 import trestlegrade.metrics.AsyncLog;
 import trestlegrade.metrics.Counters;
 import trestlegrade.metrics.MemoryMonitor;
@@ -144,8 +146,8 @@
         counters.registerGauge("held_transactions", policyExecutor::heldTransactions);
         counters.registerGauge("policy_generations", policyExecutor::generationCount);
         counters.registerGauge("open_ids", inboundServer::openTraceIdCount);
-        counters.registerGauge("request_body_kb", () -> inboundServer.requestBodyBytes() >> 10);
-        counters.registerGauge("answer_body_kb", () -> attemptSender.responseBodyBytes() >> 10);
+        registerMemoryGauges("request", inboundServer.memory());
+        registerMemoryGauges("answer", attemptSender.responseMemory());
         counters.registerGauge("clients", inboundServer::connectionCount);
         counters.registerGauge("pooled", attemptSender::connections);
         counters.registerGauge("list_version", discovery::version);
@@ -153,6 +155,13 @@
         MemoryMonitor.start(loop.vertx(), counters);
     }
 
+    private void registerMemoryGauges(String messages, MessageMemoryBudget memory) {
+        for (MessageMemoryBudget.Use use : MessageMemoryBudget.Use.values()) {
+            String name = messages + "_" + use.name().toLowerCase(Locale.ROOT) + "_kb";
+            counters.registerGauge(name, () -> memory.claimedBytes(use) >> 10);
+        }
+    }
+
     /**
      * Applies a reloaded configuration on SIGHUP: discovery's address, and the settings for all transactions that
      * arrive from now on. Open transactions end as {@link PolicyGeneration} describes. Does nothing before
--- /dev/null
+++ b/sidecar/src/test/java/trestlegrade/integration/MessageMemoryIT.java
@@ -0,0 +1,126 @@
+package trestlegrade.integration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static trestlegrade.integration.Await.eventually;
+import static trestlegrade.integration.Await.pause;
+import static trestlegrade.integration.HttpText.header;
+import static trestlegrade.integration.HttpText.response;
+import static trestlegrade.integration.HttpText.transaction;
+
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Messages hold more memory than their text. What clients and endpoints send is bounded by what it really holds. */
+@Isolated("holds several hundred connections")
+class MessageMemoryIT extends SidecarFixture {
+    private static final int CLIENTS = 500;
+    private static final String SHORT_FIELDS = "a:1\r\n".repeat(1_500);
+    private static final String POST =
+            "POST /post-charge HTTP/1.1\r\nHost: h\r\nX-Trace-Id: ID\r\nX-Expires-In: 9000m\r\n";
+
+    /** What each of many clients sends before it stops. Fields are short, so that they hold many times their text. */
+    private enum Unfinished {
+        HEAD("GET /quote HTTP/1.1\r\nHost: h\r\n" + SHORT_FIELDS),
+        BODY(POST + "Content-Length: 10\r\n" + SHORT_FIELDS + "\r\n12"),
+        REJECTED_BODY(POST + "Content-Length: 70000\r\n" + SHORT_FIELDS + "\r\n12"),
+        TRAILER(POST + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + SHORT_FIELDS),
+        HEAD_BEHIND_AN_OPEN_REQUEST(POST + "Content-Length: 2\r\n\r\nok" + POST + SHORT_FIELDS),
+        REQUESTS_BEHIND_AN_OPEN_REQUEST(POST + "Content-Length: 2\r\n\r\nok"
+                + ("GET /quote HTTP/1.1\r\nHost: h\r\n" + SHORT_FIELDS + "\r\n").repeat(4));
+
+        private final String text;
+
+        Unfinished(String text) {
+            this.text = text;
+        }
+    }
+
+    private void startWithLongTimeouts() throws Exception {
+        useLongTimeouts();
+        // Only a lack of memory may reject a request here: not long waits, slow connects or a lack of descriptors.
+        settings().getJsonArray("profiles").forEach(each -> ((JsonObject) each).put("service_goal", 100_000_000));
+        settings().getJsonObject("ceilings").put("dial_timeout", 30_000);
+        sockets = 4 * CLIENTS;
+        startAndAwaitHealthy();
+    }
+
+    /** Failure: the heap was exhausted and the process ended, or requests of other clients were refused. */
+    @ParameterizedTest
+    @EnumSource
+    void shortFieldsOfUnfinishedRequestsDoNotExhaustTheHeap(Unfinished unfinished) throws Exception {
+        endpoint(r -> {
+            pause(header(r, "X-Trace-Id").startsWith("slow") ? 1_500 : 0);
+            return response(200, "", header(r, "X-Trace-Id"));
+        });
+        startWithLongTimeouts();
+        List<TestClient> unfinishedClients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            TestClient client = client();
+            unfinishedClients.add(client);
+            writeUnlessClosed(client, unfinished.text.replace("ID", "slow" + i));
+        }
+        assertRegularClientIsServed("r");
+        eventually(() -> counters().getJsonObject("now").getLong("clients") <= 2);
+        assertAllMemoryIsReleased();
+        for (TestClient client : unfinishedClients) {
+            client.close();
+        }
+    }
+
+    /** Failure: endpoints that stop in the head of a response exhausted the heap, and the process ended. */
+    @Test
+    void shortFieldsOfUnfinishedResponsesDoNotExhaustTheHeap() throws Exception {
+        endpoint(r -> header(r, "X-Trace-Id").startsWith("r")
+                ? response(200, "", header(r, "X-Trace-Id"))
+                : "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + SHORT_FIELDS + "\r\nhalf".substring(0, 3));
+        startWithLongTimeouts();
+        for (int i = 0; i < CLIENTS; i++) {
+            client().write(transaction("post-charge", "slow" + i, 9_000));
+        }
+        assertRegularClientIsServed("r");
+        assertTrue(process.isAlive());
+    }
+
+    private static void writeUnlessClosed(TestClient client, String text) {
+        try {
+            client.write(text);
+        } catch (IOException e) {
+            // The sidecar may end the connection before all of it is written.
+        }
+    }
+
+    private void assertRegularClientIsServed(String tracePrefix) throws Exception {
+        TestClient client = client();
+        for (int i = 0; i < 50; i++) {
+            String trace = tracePrefix + i;
+            String got = "no response";
+            try {
+                got = client.exchange(transaction(i % 2 == 0 ? "quote" : "post-charge", trace, 9_000));
+            } catch (IOException e) {
+                got = e.toString();
+            }
+            assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith(trace), got + log());
+            pause(20);
+        }
+        client.close();
+    }
+
+    private void assertAllMemoryIsReleased() {
+        eventually(() -> {
+            JsonObject now = counters().getJsonObject("now");
+            return now.fieldNames().stream()
+                            .filter(name -> name.matches("(request|answer)_.*_kb"))
+                            .mapToLong(now::getLong)
+                            .sum()
+                    <= 2;
+        });
+        assertEquals(true, process.isAlive());
+    }
+}
--- a/sidecar/src/test/java/trestlegrade/runtime/PolicyExecutorTest.java
+++ b/sidecar/src/test/java/trestlegrade/runtime/PolicyExecutorTest.java
@@ -164,7 +164,8 @@
         JsonObject file = new JsonObject("{\"name\":\"n\",\"listen\":\"127.0.0.1:80\",\"discovery\":\"127.0.0.1:1\","
                 + "\"seed\":\"ff\",\"limits\":{\"sockets\":256},\"known\":{\"index\":7},"
                 + "\"settings\":{\"azs\":[\"a\"],\"zone\":0,\"ceilings\":{\"max_hops\":3},"
-                + "\"safety\":{\"cold_from\":0.5,\"cold\":1000,\"fall_multiple\":3,\"fall\":1000,\"drain_grace\":1000},\"profiles\":["
+                + "\"safety\":{\"cold_from\":0.5,\"cold\":1000,\"fall_multiple\":3,\"fall\":1000,\"drain_grace\":1000},"
+                + "\"profiles\":["
                 + String.join(",", profiles) + "]}}");
         file.getJsonObject("known").put("endpoints", entries);
         return SidecarConfigReader.of(file, Map.of());
