Keep no direct buffer of a socket read for an incomplete line or for requests sent ahead

Cause: a socket is read into a direct buffer of up to 64 KiB. Requests that wait behind an open one, and lines that are not complete, kept all of it and were counted by their bytes. Without direct memory (16 MB) each read sleeps half a second and fails.

Change: the decoders of both directions copy what they read to the heap in its size (HeapCumulator), and the body of a waiting request is one buffer, counted by its capacity (WaitingRequests).

--- a/sidecar/src/main/java/trestlegrade/inbound/PipeliningHandler.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/PipeliningHandler.java
@@ -3,16 +3,12 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import trestlegrade.eventloop.MonotonicClock;
-import trestlegrade.memory.HeadMemory;
 import trestlegrade.memory.MessageMemoryBudget;
 
 /**
@@ -22,19 +18,10 @@
  * connection ends, waiting requests are discarded.
  */
 final class PipeliningHandler extends ChannelDuplexHandler {
-    /**
-     * The limit per connection: room for some long bodies and some hundred short requests. A client that follows the
-     * protocol has one request open.
-     */
-    private static final long MAX_CONNECTION_BYTES = 512 << 10;
-
     private final StrictRequestDecoder decoder;
     private final MonotonicClock clock;
-    private final MessageMemoryBudget.Claim memory;
+    private final WaitingRequests waiting;
     private final Runnable onOverflow;
-    private final Deque<Object> waiting = new ArrayDeque<>();
-    /** When the last byte of each complete waiting request arrived, in ticks of the clock. */
-    private final Deque<Long> waitingReceivedAt = new ArrayDeque<>();
 
     private long receivedAt;
     private boolean requestOpen;
@@ -47,7 +34,7 @@
             StrictRequestDecoder decoder, MonotonicClock clock, MessageMemoryBudget budget, Runnable onOverflow) {
         this.decoder = decoder;
         this.clock = clock;
-        memory = budget.claim(MessageMemoryBudget.Use.PIPELINED);
+        waiting = new WaitingRequests(budget);
         this.onOverflow = onOverflow;
     }
 
@@ -73,32 +60,15 @@
         }
     }
 
-    private void enqueue(Object part) {
-        long requiredBytes = memory.bytes() + size(part);
-        if (requiredBytes > MAX_CONNECTION_BYTES || !memory.resize(requiredBytes)) {
-            overflow(part);
-            return;
-        }
-        waiting.add(part);
-        if (part instanceof LastHttpContent) {
-            waitingReceivedAt.add(clock.now());
-        }
-    }
-
     /**
-     * Discards the request for which there is no memory, which was never forwarded, and all further input. Leaving the
+     * Makes a part wait. If there is no memory for it, its request and all further input are discarded. Leaving the
      * input unread in the kernel would hide the client's disconnect.
      */
-    private void overflow(Object part) {
-        decoder.discardInput();
-        ReferenceCountUtil.release(part);
-        boolean discarded = part instanceof HttpRequest;
-        while (!discarded) {
-            Object earlierPart = waiting.pollLast();
-            discarded = earlierPart instanceof HttpRequest;
-            releaseMemory(earlierPart);
-            ReferenceCountUtil.release(earlierPart);
+    private void enqueue(Object part) {
+        if (waiting.add(part, clock.now())) {
+            return;
         }
+        decoder.discardInput();
         if (waiting.isEmpty()) {
             onOverflow.run();
         }
@@ -120,15 +90,12 @@
 
     /** Forwards the first waiting request, as far as it has arrived. */
     private void forwardNext(ChannelHandlerContext context) {
-        while (!waiting.isEmpty() && !(waiting.peekFirst() instanceof HttpRequest && requestOpen)) {
-            Object part = waiting.pollFirst();
-            releaseMemory(part);
+        while (!waiting.isEmpty() && !(waiting.nextIsHead() && requestOpen)) {
+            Object part = waiting.remove();
             if (part instanceof LastHttpContent) {
-                receivedAt = waitingReceivedAt.pollFirst();
+                receivedAt = waiting.removeCompletedAt();
             }
-            if (decoder.discardsInput()
-                    && part instanceof HttpRequest
-                    && waiting.stream().noneMatch(HttpRequest.class::isInstance)) {
+            if (decoder.discardsInput() && part instanceof HttpRequest && waiting.containNoHead()) {
                 onOverflow.run();
             }
             forward(context, part);
@@ -141,36 +108,14 @@
         context.fireChannelRead(part);
     }
 
-    private void releaseMemory(Object part) {
-        memory.resize(memory.bytes() - size(part));
-    }
-
-    private static long size(Object part) {
-        long size = 0;
-        if (part instanceof HttpRequest head) {
-            size = HeadMemory.of(head.uri(), head.headers());
-        }
-        if (part instanceof LastHttpContent last) {
-            size += HeadMemory.ofFields(last.trailingHeaders());
-        }
-        return part instanceof HttpContent content ? size + content.content().readableBytes() : size;
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
-        discardWaiting();
+        waiting.clear();
         super.channelInactive(context);
     }
 
     @Override
     public void handlerRemoved(ChannelHandlerContext context) {
-        discardWaiting();
-    }
-
-    private void discardWaiting() {
-        memory.release();
-        waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
-        waitingReceivedAt.clear();
     }
 }
--- a/sidecar/src/main/java/trestlegrade/inbound/StrictRequestDecoder.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/StrictRequestDecoder.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import trestlegrade.eventloop.EventLoopLag;
 import trestlegrade.eventloop.MonotonicClock;
+import trestlegrade.memory.HeapCumulator;
 import trestlegrade.memory.MessageMemoryBudget;
 
 /**
@@ -61,6 +62,7 @@
             MemoryReclaimer reclaimer,
             Listener listener) {
         super(options);
+        setCumulator(HeapCumulator.INSTANCE);
         this.clock = clock;
         this.reclaimer = reclaimer;
         this.listener = listener;
--- a/sidecar/src/main/java/trestlegrade/outbound/ResponseReader.java
+++ b/sidecar/src/main/java/trestlegrade/outbound/ResponseReader.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
+import trestlegrade.memory.HeapCumulator;
 import trestlegrade.memory.ParsedInput;
 
 /**
@@ -62,6 +63,7 @@
     ResponseReader(Listener listener) {
         // HeaderRules leaves out fields that cannot be forwarded, so they do not make a response malformed.
         super(new HttpDecoderConfig().setValidateHeaders(false));
+        setCumulator(HeapCumulator.INSTANCE);
         this.listener = listener;
     }
 
--- a/sidecar/src/test/java/trestlegrade/integration/MessageMemoryIT.java
+++ b/sidecar/src/test/java/trestlegrade/integration/MessageMemoryIT.java
@@ -12,6 +12,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,18 +24,24 @@
 class MessageMemoryIT extends SidecarFixture {
     private static final int CLIENTS = 500;
     private static final String SHORT_FIELDS = "a:1\r\n".repeat(1_500);
+    /** Half of what the process may use. */
+    private static final long MAX_DIRECT_KILOBYTES = 8 << 10;
+
     private static final String POST =
             "POST /post-charge HTTP/1.1\r\nHost: h\r\nX-Trace-Id: ID\r\nX-Expires-In: 9000m\r\n";
 
+    private static final String SHORT_POST = POST + "Content-Length: 2\r\n\r\nok";
+    private static final String LONG_POST = POST + "Content-Length: 40000\r\n\r\n" + "y".repeat(40_000);
+
     /** What each of many clients sends before it stops. Fields are short, so that they hold many times their text. */
     private enum Unfinished {
         HEAD("GET /quote HTTP/1.1\r\nHost: h\r\n" + SHORT_FIELDS),
         BODY(POST + "Content-Length: 10\r\n" + SHORT_FIELDS + "\r\n12"),
         REJECTED_BODY(POST + "Content-Length: 70000\r\n" + SHORT_FIELDS + "\r\n12"),
         TRAILER(POST + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" + SHORT_FIELDS),
-        HEAD_BEHIND_AN_OPEN_REQUEST(POST + "Content-Length: 2\r\n\r\nok" + POST + SHORT_FIELDS),
-        REQUESTS_BEHIND_AN_OPEN_REQUEST(POST + "Content-Length: 2\r\n\r\nok"
-                + ("GET /quote HTTP/1.1\r\nHost: h\r\n" + SHORT_FIELDS + "\r\n").repeat(4));
+        HEAD_BEHIND_AN_OPEN_REQUEST(SHORT_POST + POST + SHORT_FIELDS),
+        REQUESTS_BEHIND_AN_OPEN_REQUEST(
+                SHORT_POST + ("GET /quote HTTP/1.1\r\nHost: h\r\n" + SHORT_FIELDS + "\r\n").repeat(4));
 
         private final String text;
 
@@ -88,6 +96,67 @@
         assertTrue(process.isAlive());
     }
 
+    /** Input in several writes, so that it is read in several pieces. */
+    private enum Pieces {
+        SHORT_REQUESTS_BEHIND_A_LONG_ONE(32, LONG_POST, SHORT_POST.repeat(8), 3),
+        INCOMPLETE_LINE_BEHIND_LONG_REQUESTS(400, LONG_POST + LONG_POST, "GET /qu", 1);
+
+        private final int clients;
+        private final String first;
+        private final String then;
+        private final int rounds;
+
+        Pieces(int clients, String first, String then, int rounds) {
+            this.clients = clients;
+            this.first = first;
+            this.then = then;
+            this.rounds = rounds;
+        }
+
+        /** Writes the pieces, with another trace id for each request. */
+        void writeTo(TestClient client, int number) throws IOException {
+            for (int round = 0; round < rounds; round++) {
+                int trace = 0;
+                for (String piece : (first + "\0" + then).split("(?=POST)|\0")) {
+                    client.write(piece.replace("ID", "slow" + number + "-" + round + "-" + trace++));
+                    pause(2);
+                }
+            }
+        }
+    }
+
+    /**
+     * Failure: short pieces kept the direct buffers of their reads, and the event loop stood still for want of them.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void piecesDoNotExhaustTheDirectMemory(Pieces pieces) throws Exception {
+        endpoint(r -> {
+            pause(header(r, "X-Trace-Id").startsWith("slow") ? 500 : 0);
+            return response(200, "", header(r, "X-Trace-Id"));
+        });
+        startWithLongTimeouts();
+        ExecutorService threads = Executors.newFixedThreadPool(pieces.clients);
+        closeables.add(threads::shutdownNow);
+        for (int i = 0; i < pieces.clients; i++) {
+            int number = i;
+            TestClient client = client();
+            threads.submit(() -> {
+                pieces.writeTo(client, number);
+                return null;
+            });
+        }
+        for (int i = 0; i < 4; i++) {
+            assertRegularClientIsServed("r" + i + "-");
+            assertDirectMemoryIsFree();
+        }
+    }
+
+    private void assertDirectMemoryIsFree() {
+        long directKilobytes = counters().getJsonObject("now").getLong("direct_used_kb");
+        assertTrue(directKilobytes < MAX_DIRECT_KILOBYTES, directKilobytes + " kB of direct memory");
+    }
+
     private static void writeUnlessClosed(TestClient client, String text) {
         try {
             client.write(text);
