Bound a message of discovery by its values as well as by its text

What callers would see: a list of 1.3 million empty entries has 3.9 MB of text, under the bound of 4 MiB, and the process ends for want of heap as it becomes complete.

Cause: the tree of short values is many times their text. Change: EndpointListParser counts values, and the watch ends above 131,072, which is more than ten thousand endpoints with all fields have.

Evidence: MessageMemoryIT.smallValuesOfAListDoNotExhaustTheHeap ends with OutOfMemoryError before; the unit test of the bound throws nothing before. A list of ten thousand endpoints is read.

--- a/sidecar/src/main/java/trestlegrade/discovery/EndpointListParser.java
+++ b/sidecar/src/main/java/trestlegrade/discovery/EndpointListParser.java
@@ -14,9 +14,12 @@
 final class EndpointListParser {
     /** Enough for an indented list of ten thousand endpoints. */
     private static final int MAX_OBJECT_BYTES = 4 << 20;
+    /** Enough for the same list. Each value is an object of up to a hundred bytes, however short its text. */
+    private static final int MAX_OBJECT_VALUES = 1 << 17;
 
     private final JsonParser parser = JsonParser.newParser().objectValueMode();
     private int incompleteBytes;
+    private int incompleteValues;
 
     EndpointListParser(Consumer<JsonObject> handler) {
         parser.handler(event -> {
@@ -24,6 +27,7 @@
                 throw new MalformedEndpointListException("expected a JSON object, not " + event.type());
             }
             incompleteBytes = 0;
+            incompleteValues = 0;
             handler.accept(event.objectValue());
         });
     }
@@ -36,7 +40,8 @@
     /**
      * Parses the next bytes.
      *
-     * @throws MalformedEndpointListException if a value is not an object, or an object is too long
+     * @throws MalformedEndpointListException if a value is not an object, or an object is too long or has too many
+     *     values
      * @throws io.vertx.core.json.DecodeException if the bytes are not JSON
      */
     void read(Buffer bytes) {
@@ -48,9 +53,25 @@
         if (incompleteBytes > MAX_OBJECT_BYTES) {
             throw new MalformedEndpointListException("JSON object exceeds " + MAX_OBJECT_BYTES + " bytes");
         }
+        incompleteValues += valueCount(bytes);
+        if (incompleteValues > MAX_OBJECT_VALUES) {
+            throw new MalformedEndpointListException("JSON object has more than " + MAX_OBJECT_VALUES + " values");
+        }
         parser.handle(bytes);
     }
 
+    /** Returns at least the number of values that begin in the bytes: the first of each object or array, and others. */
+    private static int valueCount(Buffer bytes) {
+        int count = 0;
+        for (int i = 0; i < bytes.length(); i++) {
+            byte next = bytes.getByte(i);
+            if (next == '{' || next == '[' || next == ',') {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Returns whether the bytes are only white space. */
     static boolean isBlank(Buffer bytes) {
         for (int i = 0; i < bytes.length(); i++) {
--- a/sidecar/src/test/java/trestlegrade/discovery/EndpointListParserTest.java
+++ b/sidecar/src/test/java/trestlegrade/discovery/EndpointListParserTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -85,4 +86,24 @@
             }
         });
     }
+
+    /** Failure: a list of many short values was within the limit of its text, and its objects exhausted the heap. */
+    @Test
+    void objectIsBoundedByItsValuesAndNotOnlyByItsText() {
+        EndpointListParser parser = new EndpointListParser(object -> {});
+        parser.read(Buffer.buffer("{\"endpoints\":["));
+        parser.read(Buffer.buffer("{},".repeat(50_000)));
+        assertThrows(MalformedEndpointListException.class, () -> parser.read(Buffer.buffer("{},".repeat(50_000))));
+    }
+
+    /** The largest list that is meant to fit: ten thousand endpoints with all of their fields. */
+    @Test
+    void listOfTenThousandEndpointsIsRead() {
+        String entry = "{\"name\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"type\":\"m\",\"group\":0,"
+                + "\"status\":\"active\",\"weight\":1.0,\"since_ms\":0}";
+        List<JsonObject> received = new ArrayList<>();
+        EndpointListParser parser = new EndpointListParser(received::add);
+        parser.read(Buffer.buffer("{\"index\":8,\"endpoints\":[" + (entry + ",").repeat(9_999) + entry + "]}"));
+        assertEquals(10_000, received.get(0).getJsonArray("endpoints").size());
+    }
 }
--- a/sidecar/src/test/java/trestlegrade/integration/MessageMemoryIT.java
+++ b/sidecar/src/test/java/trestlegrade/integration/MessageMemoryIT.java
@@ -152,6 +152,18 @@
         }
     }
 
+    /** Failure: a list of many small values stayed under the limit of its text, and its tree exhausted the heap. */
+    @Test
+    void smallValuesOfAListDoNotExhaustTheHeap() throws Exception {
+        endpoint(r -> response(200, "", header(r, "X-Trace-Id")));
+        startWithLongTimeouts();
+        eventually(() -> !discovery.requests.isEmpty());
+        discovery.writeLine("{\"index\":8,\"endpoints\":[" + "{},".repeat(1_300_000) + "{}]}");
+        assertRegularClientIsServed("r");
+        eventually(() -> counters().getLong("list_lines_bad") > 0);
+        assertTrue(process.isAlive());
+    }
+
     private void assertDirectMemoryIsFree() {
         long directKilobytes = counters().getJsonObject("now").getLong("direct_used_kb");
         assertTrue(directKilobytes < MAX_DIRECT_KILOBYTES, directKilobytes + " kB of direct memory");
