At the memory bound, end only incomplete requests, and count pauses behind the loop's lag

Cause: MemoryReclaimer took each connection with a claim for one that has paused; an idle connection has one too, for the line buffer of its decoder. A complete request whose line buffer had no memory would have been dropped. What waits unread behind a late loop counted as a pause. Change: only connections with an incomplete request; a complete one goes on; the pause grows with the loop's lag. The text of a head is dropped, not parsed, when its connection ends. ArchitectureTest holds memory apart from the layers above it.

--- a/sidecar/src/main/java/trestlegrade/inbound/InboundHttpServer.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/InboundHttpServer.java
@@ -72,7 +72,7 @@
         RequestDeadline deadline = new RequestDeadline(clock, lag, shutdown);
         acceptor =
                 new TransactionAcceptor(counters, executor, descriptors, lag, connections, writer, shutdown, deadline);
-        reclaimer = new MemoryReclaimer(clock, connections.open(), writer);
+        reclaimer = new MemoryReclaimer(clock, lag, connections.open(), writer);
         reader = new RequestReader(clock, memory, reclaimer, writer, acceptor);
         binder = new ListenerBinder(vertx, clock, counters.log, () -> this.config.listen(), this::newServer);
         applyConfig(config);
--- a/sidecar/src/main/java/trestlegrade/inbound/IncompleteHead.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/IncompleteHead.java
@@ -81,11 +81,6 @@
         heldBytes = (long) input.readableBytes() + requestLine + lineBuffer;
     }
 
-    /** Passes on all input, because the connection has ended and no head will be completed. */
-    void decodeLast(ByteBuf input, Parser parser) throws Exception {
-        parser.parse(input);
-    }
-
     private void partParsed(Object part) {
         if (part instanceof HttpMessage) {
             state = State.BODY;
--- a/sidecar/src/main/java/trestlegrade/inbound/StrictRequestDecoder.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/StrictRequestDecoder.java
@@ -123,20 +123,21 @@
         claimIncompleteMemory();
     }
 
+    /** Claims the memory of an incomplete request. A complete one goes on; what remains is a buffer of the library. */
     private void claimIncompleteMemory() {
-        while (!discardsInput && !incompleteMemory.resize(head.heldBytes())) {
+        boolean claimed = incompleteMemory.resize(head.heldBytes());
+        while (!claimed && partial && !discardsInput) {
             if (!reclaimer.reclaim()) {
                 listener.noMemory();
                 return;
             }
+            claimed = incompleteMemory.resize(head.heldBytes());
         }
     }
 
+    /** Drops the text of a head that will not be completed. The library reports its request as incomplete. */
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
-        if (!discardsInput && bytes.isReadable()) {
-            head.decodeLast(bytes, input -> super.decode(context, input, out));
-        }
         super.decodeLast(context, Unpooled.EMPTY_BUFFER, out);
     }
 
--- a/sidecar/src/main/java/trestlegrade/memory/MessageMemoryBudget.java
+++ b/sidecar/src/main/java/trestlegrade/memory/MessageMemoryBudget.java
@@ -117,6 +117,9 @@
          */
         public boolean resize(long newBytes) {
             long added = newBytes - bytes;
+            if (added == 0) {
+                return true;
+            }
             if (added > 0 && !mayGrow(use, added, newBytes)) {
                 return false;
             }
--- a/sidecar/src/test/java/trestlegrade/ArchitectureTest.java
+++ b/sidecar/src/test/java/trestlegrade/ArchitectureTest.java
@@ -87,9 +87,9 @@
             .resideInAPackage("trestlegrade.simulator..");
 
     @ArchTest
-    static final ArchRule EVENT_LOOP_DOES_NOT_DEPEND_ON_HIGHER_LAYERS = noClasses()
+    static final ArchRule EVENT_LOOP_AND_MEMORY_DO_NOT_DEPEND_ON_HIGHER_LAYERS = noClasses()
             .that()
-            .resideInAPackage("trestlegrade.eventloop..")
+            .resideInAnyPackage("trestlegrade.eventloop..", "trestlegrade.memory..")
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage(
