--- a/sidecar/src/main/java/trestlegrade/inbound/ClientConnection.java
+++ b/sidecar/src/main/java/trestlegrade/inbound/ClientConnection.java
@@ -185,15 +185,14 @@
     }
 
     /**
-     * Drops an incomplete head, for which there is no memory, and ends the connection: at once, or with the response to
-     * its open transaction.
+     * Drops an incomplete head, for which there is no memory, and ends the connection: now, or with the response to its
+     * open transaction.
      */
     void endForMemory() {
         setEndReasonIfAbsent(ConnectionEndReason.NO_MEMORY);
         decoder.discardInput();
         if (!hasOpenTransaction()) {
-            closing = true;
-            lastWrite.onComplete(done -> decoder.closeNow());
+            close(ConnectionEndReason.NO_MEMORY);
         }
     }
 
--- a/sidecar/src/main/java/trestlegrade/memory/HeadMemory.java
+++ b/sidecar/src/main/java/trestlegrade/memory/HeadMemory.java
@@ -7,9 +7,9 @@
     /** The objects of a message without fields. */
     public static final int MESSAGE_BYTES = 512;
     /** The entry of a field with the objects of its name and its value, without their text. */
-    public static final int FIELD_BYTES = 128;
-    /** The entry of a field in a copy of the fields, which shares the name and the value. */
-    public static final int COPIED_FIELD_BYTES = 48;
+    public static final int FIELD_BYTES = 144;
+    /** The entry of a field in a copy of the fields, with the name as text, which the first reader of it creates. */
+    public static final int COPIED_FIELD_BYTES = 96;
 
     private HeadMemory() {}
 
--- a/sidecar/src/main/java/trestlegrade/runtime/Sidecar.java
+++ b/sidecar/src/main/java/trestlegrade/runtime/Sidecar.java
@@ -5,7 +5,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
-import java.util.Locale;
 import org.tinylog.Logger;
 import trestlegrade.config.SidecarConfig;
 import trestlegrade.discovery.DiscoveryClient;
@@ -18,6 +17,7 @@
 import trestlegrade.inbound.DescriptorBudget;
 import trestlegrade.inbound.InboundHttpServer;
 import trestlegrade.memory.MessageMemoryBudget;
+import trestlegrade.memory.MessageMemoryBudget.Use;
 import trestlegrade.metrics.AsyncLog;
 import trestlegrade.metrics.Counters;
 import trestlegrade.metrics.MemoryMonitor;
@@ -146,8 +146,12 @@
         counters.registerGauge("held_transactions", policyExecutor::heldTransactions);
         counters.registerGauge("policy_generations", policyExecutor::generationCount);
         counters.registerGauge("open_ids", inboundServer::openTraceIdCount);
-        registerMemoryGauges("request", inboundServer.memory());
-        registerMemoryGauges("answer", attemptSender.responseMemory());
+        registerMemoryGauge("request_head_kb", inboundServer.memory(), Use.HEAD);
+        registerMemoryGauge("request_body_kb", inboundServer.memory(), Use.BODY);
+        registerMemoryGauge("request_pipelined_kb", inboundServer.memory(), Use.PIPELINED);
+        registerMemoryGauge("request_incomplete_kb", inboundServer.memory(), Use.INCOMPLETE);
+        registerMemoryGauge("answer_head_kb", attemptSender.responseMemory(), Use.HEAD);
+        registerMemoryGauge("answer_body_kb", attemptSender.responseMemory(), Use.BODY);
         counters.registerGauge("clients", inboundServer::connectionCount);
         counters.registerGauge("pooled", attemptSender::connections);
         counters.registerGauge("list_version", discovery::version);
@@ -155,11 +159,8 @@
         MemoryMonitor.start(loop.vertx(), counters);
     }
 
-    private void registerMemoryGauges(String messages, MessageMemoryBudget memory) {
-        for (MessageMemoryBudget.Use use : MessageMemoryBudget.Use.values()) {
-            String name = messages + "_" + use.name().toLowerCase(Locale.ROOT) + "_kb";
-            counters.registerGauge(name, () -> memory.claimedBytes(use) >> 10);
-        }
+    private void registerMemoryGauge(String name, MessageMemoryBudget memory, Use use) {
+        counters.registerGauge(name, () -> memory.claimedBytes(use) >> 10);
     }
 
     /**
