--- a/review/standins-2/CaseMain.java
+++ b/review/standins-2/CaseMain.java
@@ -25,7 +25,7 @@
             Case selected = switch (arguments[0]) {
                 case "late-repeat" -> new LateRepeatCase();
                 case "restart" -> new RestartCase();
-                case "stale-list" -> new StaleListCase();
+                case "dropped-profile" -> new DroppedProfileCase();
                 default -> throw new IllegalArgumentException(arguments[0]);
             };
             recorder.add("case " + arguments[0] + ", trouble: " + trouble);
--- a/review/standins-2/Sidecar.java
+++ b/review/standins-2/Sidecar.java
@@ -87,6 +87,12 @@
         throw new IllegalStateException("the sidecar is not ready");
     }
 
+    /** Replaces the settings and sends SIGHUP. */
+    void reload(String settings) throws Exception {
+        writeConfig(settings);
+        signal("HUP");
+    }
+
     /** Sends a signal to the program, which `run` starts by exec. */
     void signal(String name) throws Exception {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
