--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/standins-2"
 rm -rf target
-mkdir target
+mkdir -p target/fleet
 javac --release 17 -Xlint:all,-try -Werror -d target ./*.java
+javac --release 17 -Xlint:all,-try -Werror -d target/fleet fleet/*.java
